--- /dev/null
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -0,0 +1,375 @@
+//! The instances of one process: what the wire says becomes calls on their balancers.
+
+use crate::door::{Door, Output};
+use dewhead::rules::{Balancer, Call, Legs, Place, Thaw, Watch};
+use dewhead::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
+use serde_json::Value;
+use std::collections::{HashMap, VecDeque};
+use std::fmt::Write;
+use std::rc::Rc;
+
+/// For how long the wire may still name a call that has ended, in milliseconds.
+const ECHO_MS: f64 = 1000.0;
+
+struct Instance {
+    door: Rc<Door>,
+    balancer: Rc<Balancer>,
+    zones: Vec<String>,
+    traffic: Vec<String>,
+    shops: Vec<String>,
+    report: Vec<String>,
+    /// Calls the wire may still speak of; one leaves when it is over.
+    calls: HashMap<u64, Rc<Call>>,
+    /// Calls that are over, for `ECHO_MS`: an event about one of them is late, not wrong.
+    echoes: VecDeque<(f64, u64)>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    output: Output,
+    instances: HashMap<String, Instance>,
+    /// Numbered lists, by number; the wire uses the same few numbers again and again.
+    lists: HashMap<u64, Value>,
+}
+
+type Outcome<T> = Result<T, String>;
+
+fn field<'a>(of: &'a Value, name: &str) -> Outcome<&'a Value> {
+    of.get(name).filter(|v| !v.is_null()).ok_or_else(|| format!("field '{name}' is missing"))
+}
+
+fn wrong(name: &str, wanted: &str) -> String {
+    format!("field '{name}' is not {wanted}")
+}
+
+fn number(of: &Value, name: &str) -> Outcome<f64> {
+    field(of, name)?.as_f64().filter(|n| n.is_finite()).ok_or_else(|| wrong(name, "a number"))
+}
+
+fn whole(of: &Value, name: &str) -> Outcome<u64> {
+    field(of, name)?.as_u64().ok_or_else(|| wrong(name, "a whole number"))
+}
+
+fn server_id(of: &Value) -> Outcome<u32> {
+    u32::try_from(whole(of, "server")?).map_err(|_| wrong("server", "a number below 2^32"))
+}
+
+fn text<'a>(of: &'a Value, name: &str) -> Outcome<&'a str> {
+    field(of, name)?.as_str().ok_or_else(|| wrong(name, "a text"))
+}
+
+fn truth(of: &Value, name: &str) -> Outcome<bool> {
+    field(of, name)?.as_bool().ok_or_else(|| wrong(name, "true or false"))
+}
+
+fn array<'a>(of: &'a Value, name: &str) -> Outcome<&'a Vec<Value>> {
+    field(of, name)?.as_array().ok_or_else(|| wrong(name, "an array"))
+}
+
+/// A field that may be absent or null.
+fn maybe<'a, T>(
+    of: &'a Value,
+    name: &str,
+    read: impl Fn(&'a Value, &str) -> Outcome<T>,
+) -> Outcome<Option<T>> {
+    match of.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(_) => read(of, name).map(Some),
+    }
+}
+
+fn seconds(of: &Value, name: &str) -> Outcome<f64> {
+    Ok(number(of, name)? / 1000.0)
+}
+
+fn call_id(of: &Value) -> Outcome<u64> {
+    let hex = text(of, "txn")?;
+    match u64::from_str_radix(hex, 16) {
+        Ok(id) if hex.len() == 16 => Ok(id),
+        _ => Err(wrong("txn", "16 hex digits")),
+    }
+}
+
+fn names(of: &Value, name: &str) -> Outcome<Vec<String>> {
+    let texts = array(of, name)?.iter().map(|v| v.as_str().map(str::to_owned));
+    texts.collect::<Option<_>>().ok_or_else(|| wrong(name, "an array of texts"))
+}
+
+fn place_in(of: &Value, name: &str, names: &[String]) -> Outcome<usize> {
+    let wanted = text(of, name)?;
+    names.iter().position(|n| n == wanted).ok_or_else(|| format!("field '{name}' names unknown '{wanted}'"))
+}
+
+impl Host {
+    /// One batch in, one reply out; an error says what is wrong with the batch.
+    pub fn batch(&mut self, line: &[u8]) -> Outcome<String> {
+        let batch: Value = serde_json::from_slice(line).map_err(|e| format!("malformed line: {e}"))?;
+        let frame = whole(&batch, "frame").map_err(|e| format!("batch: {e}"))?;
+        let tell = |e: String| format!("frame {frame}: {e}");
+        let wall = number(&batch, "wall").map_err(tell)?;
+        let inbox = array(&batch, "inbox").map_err(tell)?;
+        {
+            let mut output = self.output.borrow_mut();
+            output.clear();
+            let _ = write!(output, "{{\"frame\":{frame},\"output\":[");
+        }
+        for event in inbox {
+            let one = event.as_object().filter(|o| o.len() == 1).and_then(|o| o.iter().next());
+            let (name, fields) = one.ok_or_else(|| tell("an event is not an object with one key".into()))?;
+            self.event(wall, name, fields).map_err(|e| tell(format!("{name}: {e}")))?;
+        }
+        self.output.borrow_mut().push_str("]}\n");
+        Ok(self.output.borrow().clone())
+    }
+
+    fn event(&mut self, wall: f64, name: &str, of: &Value) -> Outcome<()> {
+        if name == "LIST" {
+            let slot = whole(of, "slot")?;
+            array(of, "rowsIn")?;
+            self.lists.insert(slot, of["rowsIn"].clone());
+            return Ok(());
+        }
+        let who = text(of, "who")?;
+        if name == "UP" {
+            let instance = Instance::start(wall / 1000.0, who, self.output.clone(), of)?;
+            self.instances.insert(who.to_owned(), instance);
+            return Ok(());
+        }
+        if name == "POWER_OFF" {
+            self.instances.remove(who);
+            return Ok(());
+        }
+        let instance =
+            self.instances.get_mut(who).ok_or_else(|| format!("field 'who' names unknown '{who}'"))?;
+        if name == "DIRECTORY_UPDATE" {
+            return instance.list(wall / 1000.0, of, &self.lists);
+        }
+        instance.event(wall, name, of)
+    }
+}
+
+impl Instance {
+    fn start(now: f64, who: &str, output: Output, of: &Value) -> Outcome<Instance> {
+        let seed = u128::from(whole(of, "initSeed")?);
+        let told = field(of, "profileData")?;
+        let (limits, rules) = (field(told, "limits")?, field(told, "obligations")?);
+        let (nature, prices) = (field(told, "specifics")?, field(told, "deductions")?);
+        let zones = names(told, "azs")?;
+        let listed = array(told, "trafficTypes")?;
+        let messages = maybe(nature, "messageAim", array)?;
+        let mut traffic = Vec::new();
+        for (at, one) in listed.iter().enumerate() {
+            let setup_target = seconds(one, "setupTarget")?;
+            let message = messages.and_then(|m| m.get(at)).and_then(Value::as_f64).map(|ms| ms / 1000.0);
+            traffic.push(TrafficType {
+                effect: effect(one)?,
+                window: maybe(one, "repeatWindow", seconds)?.unwrap_or(0.0),
+                setup_target,
+                message_target: message.unwrap_or(setup_target),
+                guard_time: seconds(one, "guardTime")?,
+                revenue: number(one, "revenue")?,
+            });
+        }
+        let no_shops = Vec::new();
+        let shops = maybe(told, "tenants", array)?.unwrap_or(&no_shops);
+        let quotas = maybe(nature, "tenantQuotaConnections", array)?;
+        let shop = |(at, one): (usize, &Value)| {
+            let standing = quotas.and_then(|q| q.get(at)).and_then(Value::as_f64).unwrap_or(0.0);
+            Ok(Shop { share: number(one, "share")?, standing })
+        };
+        let door = Rc::new(Door::new(who, output));
+        let home = place_in(told, "locality", &zones)?;
+        let thaw = Thaw {
+            cold_share: number(rules, "coldShare")?,
+            warm_after: seconds(rules, "cold")?,
+            multiple: number(rules, "fallMultiple")?,
+            window: seconds(rules, "tipAfter")?,
+        };
+        let asked = truth(limits, "retryAfter")?;
+        let legs = Legs {
+            most: whole(limits, "mostLegs")?.min(64) as u32,
+            two_at_once: truth(limits, "secondCopies")?,
+            stay_away: if asked { Some(seconds(limits, "maxRetryAfter")?) } else { None },
+        };
+        let ask = text(told, "membershipMode")? == "subscribe";
+        let balancer = Balancer::start(
+            now,
+            seed,
+            door.clone(),
+            whole(told, "siblings")? as usize,
+            traffic,
+            shops.iter().enumerate().map(shop).collect::<Outcome<_>>()?,
+            Watch::new(ask, maybe(rules, "mustAskIn", seconds)?.unwrap_or(10.0)),
+            Place::new(home, number(prices, "crossZone")?),
+            thaw,
+            legs,
+            if maybe(nature, "groups", truth)?.unwrap_or(false) { 1.0 } else { 0.0 },
+            maybe(nature, "park", seconds)?.unwrap_or(0.0),
+        );
+        let named = |list: &[Value]| -> Outcome<Vec<String>> {
+            list.iter().map(|one| text(one, "name").map(str::to_owned)).collect()
+        };
+        Ok(Instance {
+            door,
+            balancer,
+            zones,
+            traffic: named(listed)?,
+            shops: named(shops)?,
+            report: names(field(told, "feedback")?, "fields")?,
+            calls: HashMap::new(),
+            echoes: VecDeque::new(),
+        })
+    }
+
+    fn list(&self, now: f64, of: &Value, lists: &HashMap<u64, Value>) -> Outcome<()> {
+        let news = match text(of, "form")? {
+            "delta" => News::Changes,
+            "full" => News::Whole,
+            "cached" => News::Remembered,
+            "failed" => {
+                self.balancer.list(now, News::Failed, &[]);
+                return Ok(());
+            }
+            other => return Err(format!("field 'form' names unknown '{other}'")),
+        };
+        let slot = whole(of, "slot")?;
+        let rows = lists.get(&slot).and_then(Value::as_array);
+        let rows = rows.ok_or_else(|| format!("field 'slot' names unknown list {slot}"))?;
+        let mut entries = Vec::with_capacity(rows.len());
+        for row in rows {
+            entries.push(Listed {
+                id: server_id(row)?,
+                zone: place_in(row, "rackZone", &self.zones)?,
+                cell: maybe(row, "block", whole)?.unwrap_or(0),
+                state: match text(row, "mode")? {
+                    "Ready" => State::Ready,
+                    "Terminating" => State::Draining,
+                    "Gone" => State::Gone,
+                    other => return Err(format!("field 'mode' names unknown '{other}'")),
+                },
+                weight: maybe(row, "size", number)?.unwrap_or(1.0),
+                started: maybe(row, "readyAt", seconds)?.filter(|at| *at > 0.0),
+            });
+        }
+        self.balancer.list(now, news, &entries);
+        Ok(())
+    }
+
+    fn event(&mut self, wall: f64, name: &str, of: &Value) -> Outcome<()> {
+        let now = wall / 1000.0;
+        match name {
+            "INGRESS" | "ALREADY_OPEN" => {
+                let id = call_id(of)?;
+                let wanted = Wanted {
+                    traffic: place_in(of, "band", &self.traffic)?,
+                    shop: match of.get("org") {
+                        Some(Value::String(_)) => Some(place_in(of, "org", &self.shops)?),
+                        _ => None,
+                    },
+                    until: seconds(of, "deadline")?,
+                    // Milliseconds of work a second.
+                    hint: maybe(of, "costGuess", seconds)?,
+                    group: maybe(of, "teamId", whole)?,
+                    key: maybe(of, "routeKey", whole)?,
+                    midflow: maybe(of, "midflow", truth)?.unwrap_or(false),
+                };
+                let call = match name {
+                    "INGRESS" => self.balancer.take(now, id, wanted),
+                    _ => self.balancer.adopt(now, id, wanted, server_id(of)?),
+                };
+                self.calls.insert(id, call);
+                self.settle(wall, id);
+            }
+            "FIRST_BYTE" => {
+                let leg = whole(of, "roundNo")? as usize;
+                self.with_call(wall, of, |call| Ok(call.established(now, leg)))?;
+            }
+            "VANISHED" => self.with_call(wall, of, |call| Ok(call.left()))?,
+            "INTERIM" => self.with_call(wall, of, |call| {
+                let (leg, amount) = (whole(of, "roundNo")? as usize, number(of, "amount")?);
+                match whole(of, "kind")? {
+                    1 => call.load_is(now, leg, amount / 1e6),
+                    2 => call.messages_take(now, leg, amount / 1000.0),
+                    _ => {}
+                }
+                Ok(())
+            })?,
+            "ATTEMPT_END" => {
+                let (leg, last) = (whole(of, "roundNo")? as usize, truth(of, "last")?);
+                let ending = ending(text(of, "result")?)?;
+                self.with_call(wall, of, |call| Ok(call.ended(now, leg, ending, last)))?;
+            }
+            "TICK_DUE" => match self.door.fired(whole(of, "name")?) {
+                Some(None) => self.balancer.woken(now),
+                Some(Some(id)) => {
+                    if let Some(call) = self.calls.get(&id).cloned() {
+                        call.woken(now);
+                        self.settle(wall, id);
+                    }
+                }
+                None => {}
+            },
+            "PROBE_RESULT" => {
+                let _ = (server_id(of)?, &self.report);
+            }
+            "FROM_PEER" => {}
+            other => return Err(format!("unknown event '{other}'")),
+        }
+        Ok(())
+    }
+
+    fn with_call(
+        &mut self,
+        wall: f64,
+        of: &Value,
+        tell: impl FnOnce(&Rc<Call>) -> Outcome<()>,
+    ) -> Outcome<()> {
+        let id = call_id(of)?;
+        match self.calls.get(&id) {
+            Some(call) => tell(call)?,
+            None if self.echoes.iter().any(|(_, echo)| *echo == id) => return Ok(()),
+            None => return Err("field 'txn' names an unknown call".into()),
+        }
+        self.settle(wall, id);
+        Ok(())
+    }
+
+    /// Lets go of a call that is over.
+    fn settle(&mut self, wall: f64, id: u64) {
+        if self.calls.get(&id).is_some_and(|call| call.is_over()) {
+            self.calls.remove(&id);
+            self.echoes.push_back((wall, id));
+        }
+        while self.echoes.front().is_some_and(|(at, _)| wall - at > ECHO_MS) {
+            self.echoes.pop_front();
+        }
+    }
+}
+
+fn effect(of: &Value) -> Outcome<Effect> {
+    Ok(match text(of, "idempotency")? {
+        "retryable" => Effect::Repeatable,
+        "fragile" => Effect::OnceOnly,
+        "dedup" => Effect::Referenced(match text(of, "keyScope")? {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return Err(format!("field 'keyScope' names unknown '{other}'")),
+        }),
+        other => return Err(format!("field 'idempotency' names unknown '{other}'")),
+    })
+}
+
+fn ending(name: &str) -> Outcome<Ending> {
+    Ok(match name {
+        "OK" => Ending::Served,
+        "INTERNAL" => Ending::Error,
+        "RESOURCE_EXHAUSTED" => Ending::Full,
+        "DEADLINE_EXCEEDED" => Ending::TimedOut,
+        "UNAVAILABLE" => Ending::Unreachable,
+        "ABORTED" => Ending::Broken,
+        "CANCELLED" => Ending::Cancelled,
+        "TOO_LATE" => Ending::NotSent,
+        other => return Err(format!("field 'result' names unknown '{other}'")),
+    })
+}
--- /dev/null
+++ b/crates/dewhead/src/rules.rs
@@ -0,0 +1,670 @@
+//! All decisions of the balancer.
+//!
+//! How to call it: build the parts (`Watch`, `Place`, `Thaw`, `Legs`) from the few settings each takes, hand them
+//! to `Balancer::start` with a seed and the door (`outward::Outward`), then tell it what happens. `take` gives a
+//! handle to the call, and all that happens to the call later is a method of that handle. Every method takes the
+//! clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`. Why each rule: docs/design.md.
+
+use crate::outward::Outward;
+use crate::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
+use oorandom::Rand64;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::{Rc, Weak};
+
+/// Loads are summed as whole billionths of a core, so that what was added is exactly what is taken off again.
+const GRAIN: f64 = 1e9;
+/// K of the paper's Eq. 2, in seconds.
+const K: f64 = 0.2;
+/// A server is judged by its last few outcomes: this many.
+const FEW: u32 = 8;
+
+/// Following the list of servers where it must be asked for.
+pub struct Watch {
+    pub must_ask: bool,
+    /// Without a subscription, the list counts as told after this long.
+    pub deemed_after: f64,
+    pub failures: Cell<u32>,
+}
+
+impl Watch {
+    pub fn new(must_ask: bool, deemed_after: f64) -> Watch {
+        Watch { must_ask, deemed_after, failures: Cell::new(0) }
+    }
+
+    /// The pause after a failed call: doubling, spread out, and never so long that a list ages past its use.
+    fn pause(&self, chance: f64) -> f64 {
+        let failures = self.failures.get();
+        self.failures.set(failures.saturating_add(1));
+        self.deemed_after / 64.0 * f64::from(1u32 << failures.min(4)) * (0.5 + chance)
+    }
+}
+
+/// The price of crossing zones, as a term of Eq. 1.
+pub struct Place {
+    home: usize,
+    /// What is left of a server's R_i when it stands in another zone; under 0 where crossing is dear.
+    abroad: f64,
+}
+
+impl Place {
+    /// `price` is what crossing costs a call, against 1 for serving it.
+    pub fn new(home: usize, price: f64) -> Place {
+        Place { home, abroad: 1.0 - 12.0 * price }
+    }
+
+    fn factor(&self, zone: usize) -> f64 {
+        if zone == self.home {
+            1.0
+        } else {
+            self.abroad
+        }
+    }
+}
+
+/// Rule 4: how much a server that has just started is sent.
+pub struct Thaw {
+    pub cold_share: f64,
+    pub warm_after: f64,
+    pub multiple: f64,
+    pub window: f64,
+}
+
+impl Thaw {
+    /// 1 when warm, the cold share at the start, evenly between.
+    fn present(&self, age: f64) -> f64 {
+        if age >= self.warm_after {
+            1.0
+        } else {
+            self.cold_share + (1.0 - self.cold_share) * (age / self.warm_after).max(0.0)
+        }
+    }
+}
+
+/// How many legs a call may have and how they share its time.
+pub struct Legs {
+    pub most: u32,
+    pub two_at_once: bool,
+    /// The longest a client can be asked to stay away; none where it can't be asked.
+    pub stay_away: Option<f64>,
+}
+
+/// One server, as this balancer knows it.
+struct Server {
+    id: u32,
+    zone: usize,
+    cell: u64,
+    weight: Cell<f64>,
+    state: Cell<State>,
+    started: Cell<f64>,
+    /// Sum of r·p over own standing connections and legs out, in grains.
+    load: Cell<i64>,
+    held: Cell<u32>,
+    /// The last few outcomes, newest lowest, 1 a success; emptied by age.
+    outcomes: Cell<u32>,
+    counted: Cell<u32>,
+    judged_at: Cell<f64>,
+    tried_at: Cell<f64>,
+    /// What evidence of slowness leaves of R_i.
+    trust: Cell<f64>,
+    trust_at: Cell<f64>,
+    /// Budget of a cold server, in connections.
+    budget: Cell<f64>,
+    budget_at: Cell<f64>,
+    /// Group -> own connections of it here; an entry goes with its last connection.
+    groups: RefCell<BTreeMap<u64, u32>>,
+    /// What the last report says of others' load here, in grains of own load.
+    others: Cell<f64>,
+}
+
+impl Server {
+    fn new(now: f64, listed: &Listed) -> Rc<Server> {
+        Rc::new(Server {
+            id: listed.id,
+            zone: listed.zone,
+            cell: listed.cell,
+            weight: Cell::new(listed.weight),
+            state: Cell::new(listed.state),
+            started: Cell::new(listed.started.unwrap_or(f64::NEG_INFINITY)),
+            load: Cell::new(0),
+            held: Cell::new(0),
+            outcomes: Cell::new(0),
+            counted: Cell::new(0),
+            judged_at: Cell::new(now),
+            tried_at: Cell::new(f64::NEG_INFINITY),
+            trust: Cell::new(1.0),
+            trust_at: Cell::new(now),
+            budget: Cell::new(0.0),
+            budget_at: Cell::new(now),
+            groups: RefCell::new(BTreeMap::new()),
+            others: Cell::new(0.0),
+        })
+    }
+
+    fn judge(&self, now: f64, well: bool) {
+        self.outcomes.set((self.outcomes.get() << 1 | u32::from(well)) & ((1 << FEW) - 1));
+        self.counted.set((self.counted.get() + 1).min(FEW));
+        self.judged_at.set(now);
+    }
+
+    /// Sick by its last few outcomes. Sparse outcomes age, and after a pause one call may try it again.
+    fn sick(&self, now: f64, memory: f64) -> bool {
+        if now - self.judged_at.get() > memory {
+            self.counted.set(0);
+            self.outcomes.set(0);
+        }
+        let well = self.outcomes.get().count_ones();
+        self.counted.get() >= 2 && 2 * well < self.counted.get()
+    }
+
+    fn distrust(&self, now: f64, factor: f64, recovery: f64) {
+        let trust = self.trusted(now, recovery);
+        self.trust.set((trust * factor).max(0.02));
+        self.trust_at.set(now);
+    }
+
+    /// Trust grows back evenly in the logarithm, over `recovery` seconds for each e-fold.
+    fn trusted(&self, now: f64, recovery: f64) -> f64 {
+        (self.trust.get() * ((now - self.trust_at.get()) / recovery).exp()).min(1.0)
+    }
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Stage {
+    Waiting,
+    Standing,
+    Answered,
+}
+
+struct Leg {
+    server: Rc<Server>,
+    sent_at: f64,
+    load: i64,
+    out: bool,
+}
+
+/// A call that was taken; everything that happens to it is told here.
+pub struct Call {
+    balancer: Rc<Balancer>,
+    id: u64,
+    wanted: Wanted,
+    taken_at: f64,
+    stage: Cell<Stage>,
+    legs: RefCell<Vec<Leg>>,
+    /// First leg that may have run: its zone, its cell, when it was sent.
+    may_have_run: Cell<Option<(usize, u64, f64)>>,
+    rate: Cell<f64>,
+    busy: Cell<f64>,
+    read_at: Cell<f64>,
+}
+
+pub struct Balancer {
+    me: Weak<Balancer>,
+    door: Rc<dyn Outward>,
+    chance: RefCell<Rand64>,
+    siblings: f64,
+    traffic: Vec<TrafficType>,
+    shops: Vec<Shop>,
+    watch: Watch,
+    place: Place,
+    thaw: Thaw,
+    legs: Legs,
+    group_cost: f64,
+    /// Sorted by id; a server leaves when it is gone and holds nothing of ours.
+    servers: RefCell<Vec<Rc<Server>>>,
+    load: Cell<i64>,
+    held: Cell<u32>,
+    /// Weights of the servers that the last pick could choose from, as R_i's divisor.
+    weights: Cell<f64>,
+    /// Connections sent to warm servers a second and unit of weight, smoothed: what a server here carries.
+    pace: Cell<f64>,
+    pace_at: Cell<f64>,
+    longest_guard: f64,
+    shortest_message: f64,
+    /// Keys of connections that went elsewhere, kept while a server may still hold them.
+    parked: RefCell<VecDeque<(f64, u64, Weak<Server>)>>,
+    park: f64,
+    ask_at: Cell<f64>,
+}
+
+impl Balancer {
+    #[allow(clippy::too_many_arguments)]
+    pub fn start(
+        now: f64,
+        seed: u128,
+        door: Rc<dyn Outward>,
+        siblings: usize,
+        traffic: Vec<TrafficType>,
+        shops: Vec<Shop>,
+        watch: Watch,
+        place: Place,
+        thaw: Thaw,
+        legs: Legs,
+        group_cost: f64,
+        park: f64,
+    ) -> Rc<Balancer> {
+        let longest_guard = traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
+        let shortest_message = traffic.iter().map(|t| t.message_target).fold(f64::INFINITY, f64::min);
+        let balancer = Rc::new_cyclic(|me| Balancer {
+            me: me.clone(),
+            door,
+            chance: RefCell::new(Rand64::new(seed)),
+            siblings: siblings.max(1) as f64,
+            traffic,
+            shops,
+            watch,
+            place,
+            thaw,
+            legs,
+            group_cost,
+            servers: RefCell::new(Vec::new()),
+            load: Cell::new(0),
+            held: Cell::new(0),
+            weights: Cell::new(0.0),
+            pace: Cell::new(0.0),
+            pace_at: Cell::new(now),
+            longest_guard,
+            shortest_message,
+            parked: RefCell::new(VecDeque::new()),
+            park,
+            ask_at: Cell::new(f64::INFINITY),
+        });
+        if balancer.watch.must_ask {
+            balancer.door.follow_list();
+        }
+        balancer
+    }
+
+    fn draw(&self) -> f64 {
+        self.chance.borrow_mut().rand_float()
+    }
+
+    /// How long an outcome counts, and a lost trust lasts: a few of the longest waits a client accepts.
+    fn memory(&self) -> f64 {
+        4.0 * self.longest_guard
+    }
+
+    pub fn woken(&self, now: f64) {
+        if now >= self.ask_at.get() {
+            self.ask_at.set(f64::INFINITY);
+            self.door.follow_list();
+        }
+    }
+
+    pub fn list(&self, now: f64, news: News, entries: &[Listed]) {
+        if news == News::Failed {
+            if self.watch.must_ask && self.ask_at.get().is_infinite() {
+                let at = now + self.watch.pause(self.draw());
+                self.ask_at.set(at);
+                self.door.wake(at);
+            }
+            return;
+        }
+        if news != News::Remembered {
+            self.watch.failures.set(0);
+        }
+        let mut servers = self.servers.borrow_mut();
+        if matches!(news, News::Whole | News::Remembered) {
+            // A server missing from a whole list is gone.
+            servers.iter().for_each(|s| s.state.set(State::Gone));
+        }
+        for listed in entries {
+            match servers.binary_search_by_key(&listed.id, |s| s.id) {
+                Ok(at) => {
+                    let server = &servers[at];
+                    server.state.set(listed.state);
+                    server.weight.set(listed.weight);
+                    let started = listed.started.unwrap_or(f64::NEG_INFINITY);
+                    if started > server.started.get() {
+                        // A process that started anew owes nothing to what its forerunner did.
+                        server.started.set(started);
+                        server.counted.set(0);
+                        server.outcomes.set(0);
+                        server.trust.set(1.0);
+                        server.budget.set(0.0);
+                        server.budget_at.set(now);
+                    }
+                }
+                Err(at) => servers.insert(at, Server::new(now, listed)),
+            }
+        }
+        servers.retain(|s| s.state.get() != State::Gone || s.held.get() > 0);
+        let weights = servers.iter().filter(|s| s.state.get() == State::Ready);
+        self.weights.set(weights.map(|s| s.weight.get() * self.place.factor(s.zone).max(0.0)).sum());
+    }
+
+    /// A call has come in. The handle is all that its events need.
+    pub fn take(&self, now: f64, id: u64, wanted: Wanted) -> Rc<Call> {
+        let call = self.handle(now, id, wanted);
+        call.next_leg(now);
+        call
+    }
+
+    /// A connection that stands already.
+    pub fn adopt(&self, now: f64, id: u64, wanted: Wanted, server: u32) -> Rc<Call> {
+        let call = self.handle(now, id, wanted);
+        let found = {
+            let servers = self.servers.borrow();
+            servers.binary_search_by_key(&server, |s| s.id).ok().map(|at| servers[at].clone())
+        };
+        // A server that no list has named yet holds it all the same.
+        let server = found.unwrap_or_else(|| {
+            let unnamed = Listed {
+                id: server,
+                zone: self.place.home,
+                cell: 0,
+                state: State::Gone,
+                weight: 0.0,
+                started: None,
+            };
+            Server::new(now, &unnamed)
+        });
+        call.place(now, server);
+        call.stage.set(Stage::Standing);
+        call
+    }
+
+    fn handle(&self, now: f64, id: u64, wanted: Wanted) -> Rc<Call> {
+        let mean = self.mean_load();
+        let rate = wanted.hint.unwrap_or(mean);
+        Rc::new(Call {
+            balancer: self.me.upgrade().expect("a balancer that is called is alive"),
+            id,
+            wanted,
+            taken_at: now,
+            stage: Cell::new(Stage::Waiting),
+            legs: RefCell::new(Vec::new()),
+            may_have_run: Cell::new(None),
+            rate: Cell::new(rate),
+            busy: Cell::new(1.0),
+            read_at: Cell::new(now),
+        })
+    }
+
+    /// The mean load of a standing connection here; one where nothing stands.
+    fn mean_load(&self) -> f64 {
+        match self.held.get() {
+            0 => 1.0,
+            held => self.load.get() as f64 / GRAIN / f64::from(held),
+        }
+    }
+
+    /// Eq. 1 over the servers that may be sent to now: the most R_i less own predicted load, ties at random.
+    fn pick(&self, now: f64, call: &Call) -> Option<Rc<Server>> {
+        let servers = self.servers.borrow();
+        let (memory, total) = (self.memory(), self.load.get() as f64);
+        let per_weight = total / self.weights.get().max(f64::MIN_POSITIVE);
+        let mean = self.mean_load() * GRAIN;
+        let legs = call.legs.borrow();
+        let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
+        let (mut second, mut weights) = (None::<(f64, &Rc<Server>)>, 0.0);
+        for server in servers.iter() {
+            if server.state.get() != State::Ready || !call.allows(now, server) {
+                continue;
+            }
+            let weight = server.weight.get();
+            let factor = self.place.factor(server.zone);
+            weights += weight * factor.max(0.0);
+            let age = now - server.started.get();
+            if age < self.thaw.warm_after && !self.within_budget(now, server, age) {
+                continue;
+            }
+            let share = weight * per_weight;
+            let mut left =
+                share * factor.min(server.trusted(now, memory) * factor.abs()) - server.load.get() as f64;
+            left -= server.others.get();
+            // A new server carries a phantom load at the others' mean, fading over its warm-up.
+            left -= share * (1.0 - age / self.thaw.warm_after).max(0.0);
+            if let (Some(group), true) = (call.wanted.group, self.group_cost > 0.0) {
+                if !server.groups.borrow().contains_key(&group) {
+                    left -= self.group_cost * mean;
+                }
+            }
+            let tried = legs.iter().any(|l| Rc::ptr_eq(&l.server, server));
+            let rested = now - server.judged_at.get().max(server.tried_at.get()) > self.longest_guard;
+            if tried || (server.sick(now, memory) && !rested) {
+                if second.is_none_or(|(most, _)| left > most) {
+                    second = Some((left, server));
+                }
+                continue;
+            }
+            match best {
+                Some((most, _)) if left < most => {}
+                Some((most, _)) if left == most => {
+                    ties += 1.0;
+                    if self.draw() * ties < 1.0 {
+                        best = Some((left, server));
+                    }
+                }
+                _ => (best, ties) = (Some((left, server)), 1.0),
+            }
+        }
+        self.weights.set(weights);
+        best.or(second).map(|(_, server)| server.clone())
+    }
+
+    /// Rule 4: this balancer's part of what a cold server can take, as a budget that fills at the pace of a
+    /// warm server's new connections here, times the present share and the multiple, less a margin.
+    fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
+        let pace = self.pace.get() * server.weight.get();
+        let fill = 0.5 * self.thaw.multiple * self.thaw.present(age) * pace;
+        let most = (fill * self.thaw.window).max(1.0);
+        let budget = server.budget.get() + fill * (now - server.budget_at.get()).max(0.0);
+        server.budget.set(budget.min(most));
+        server.budget_at.set(now);
+        server.budget.get() >= 1.0
+    }
+
+    fn count_sent(&self, now: f64, server: &Server, load: f64) {
+        let span = self.memory();
+        let fade = (-(now - self.pace_at.get()).max(0.0) / span).exp();
+        let warm = now - server.started.get() >= self.thaw.warm_after;
+        let added = if warm { 1.0 / (span * self.weights.get().max(f64::MIN_POSITIVE)) } else { 0.0 };
+        self.pace.set(self.pace.get() * fade + added);
+        self.pace_at.set(now);
+        if !warm {
+            server.budget.set(server.budget.get() - (load / self.mean_load()).max(1.0));
+        }
+        server.tried_at.set(now);
+    }
+
+    fn sum(&self, server: &Server, change: i64) {
+        server.load.set(server.load.get() + change);
+        self.load.set(self.load.get() + change);
+    }
+}
+
+impl Call {
+    /// Rule 2, the servers: where a leg of a referenced call that may have run can be sent again.
+    fn allows(&self, now: f64, server: &Server) -> bool {
+        let traffic = &self.balancer.traffic[self.wanted.traffic];
+        match (traffic.effect, self.may_have_run.get()) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::OnceOnly, Some(_)) => false,
+            (Effect::Referenced(group), Some((zone, cell, sent_at))) => {
+                now - sent_at < 0.9 * traffic.window
+                    && match group {
+                        Group::All => true,
+                        Group::Zone => zone == server.zone,
+                        Group::Cell => cell == server.cell && zone == server.zone,
+                    }
+            }
+        }
+    }
+
+    /// Rule 2, the answer: a reject says that trying again is harmless.
+    fn may_reject(&self) -> bool {
+        let effect = self.balancer.traffic[self.wanted.traffic].effect;
+        let out = self.legs.borrow().iter().any(|l| l.out);
+        match effect {
+            Effect::Repeatable | Effect::Referenced(Group::All) => true,
+            _ => self.may_have_run.get().is_none() && !out,
+        }
+    }
+
+    fn next_leg(self: &Rc<Self>, now: f64) {
+        let balancer = &self.balancer;
+        let sent = self.legs.borrow().len() as u32;
+        let guard = self.wanted.until - now;
+        if sent >= balancer.legs.most || guard <= 0.0 {
+            return self.give_up();
+        }
+        let Some(server) = self.held_at(now).or_else(|| balancer.pick(now, self)) else {
+            return self.give_up();
+        };
+        let target = self.taken_at + balancer.traffic[self.wanted.traffic].setup_target - now;
+        let last = sent + 1 == balancer.legs.most;
+        // A leg leaves time for a further one before the setup target, or else before the guard time.
+        let limit = match () {
+            () if last => guard,
+            () if target > 0.0 => (target / 2.0).max(guard / 8.0).min(guard),
+            () => (guard / 2.0).max(guard.min(target.abs())),
+        };
+        balancer.door.send(self.id, server.id, limit);
+        balancer.count_sent(now, &server, self.rate.get());
+        self.place(now, server);
+    }
+
+    /// A connection whose packets went elsewhere for a while goes on where it is still held.
+    fn held_at(&self, now: f64) -> Option<Rc<Server>> {
+        if !self.wanted.midflow {
+            return None;
+        }
+        let key = self.wanted.key?;
+        let parked = self.balancer.parked.borrow();
+        let found = parked.iter().rev().find(|(until, k, _)| *k == key && *until > now)?;
+        found.2.upgrade().filter(|s| s.state.get() == State::Ready && self.allows(now, s))
+    }
+
+    fn place(&self, now: f64, server: Rc<Server>) {
+        let load = (self.rate.get() * self.busy.get() * GRAIN) as i64;
+        self.balancer.sum(&server, load);
+        self.balancer.held.set(self.balancer.held.get() + 1);
+        server.held.set(server.held.get() + 1);
+        if let Some(group) = self.wanted.group {
+            *server.groups.borrow_mut().entry(group).or_insert(0) += 1;
+        }
+        self.legs.borrow_mut().push(Leg { server, sent_at: now, load, out: true });
+    }
+
+    /// An ended leg leaves the sums at once.
+    fn unplace(&self, leg: usize) -> Option<Rc<Server>> {
+        let mut legs = self.legs.borrow_mut();
+        let leg = legs.get_mut(leg).filter(|l| l.out)?;
+        leg.out = false;
+        let server = leg.server.clone();
+        self.balancer.sum(&server, -leg.load);
+        self.balancer.held.set(self.balancer.held.get() - 1);
+        server.held.set(server.held.get() - 1);
+        if let Some(group) = self.wanted.group {
+            let mut groups = server.groups.borrow_mut();
+            if let Some(count) = groups.get_mut(&group) {
+                *count -= 1;
+                if *count == 0 {
+                    groups.remove(&group);
+                }
+            }
+        }
+        Some(server)
+    }
+
+    fn give_up(&self) {
+        if self.stage.replace(Stage::Answered) == Stage::Answered {
+            return;
+        }
+        if self.may_reject() {
+            self.balancer.door.reject(self.id, self.balancer.legs.stay_away);
+        } else {
+            self.balancer.door.release(self.id);
+        }
+    }
+
+    /// Nothing more will be heard of this call, and the handle can go.
+    pub fn is_over(&self) -> bool {
+        self.stage.get() == Stage::Answered && !self.legs.borrow().iter().any(|l| l.out)
+    }
+
+    /// The connection stands.
+    pub fn established(&self, now: f64, leg: usize) {
+        if self.stage.get() == Stage::Waiting {
+            self.stage.set(Stage::Standing);
+        }
+        if let Some(leg) = self.legs.borrow().get(leg) {
+            leg.server.judge(now, true);
+        }
+    }
+
+    /// The connection's present load, smoothed as in Eq. 2; p_j likewise.
+    pub fn load_is(&self, now: f64, leg: usize, load: f64) {
+        let fade = (-(now - self.read_at.replace(now)).max(0.0) / K).exp();
+        let busy = if load > 0.0 { 1.0 } else { 0.0 };
+        self.rate.set((1.0 - fade) * load + fade * self.rate.get());
+        self.busy.set((1.0 - fade) * busy + fade * self.busy.get());
+        let mut legs = self.legs.borrow_mut();
+        if let Some(leg) = legs.get_mut(leg).filter(|l| l.out) {
+            let load = (self.rate.get() * self.busy.get() * GRAIN) as i64;
+            self.balancer.sum(&leg.server, load - leg.load);
+            leg.load = load;
+        }
+    }
+
+    /// How long a message takes at this call's server now.
+    pub fn messages_take(&self, now: f64, leg: usize, delay: f64) {
+        let balancer = &self.balancer;
+        if let Some(leg) = self.legs.borrow().get(leg) {
+            let slow = (delay / balancer.shortest_message).min(1.0);
+            if slow > 1.0 / 3.0 {
+                leg.server.distrust(now, 1.0 - 0.3 * slow, balancer.memory());
+            }
+        }
+    }
+
+    pub fn ended(self: &Rc<Self>, now: f64, leg: usize, ending: Ending, last: bool) {
+        let Some(server) = self.unplace(leg) else { return };
+        let balancer = &self.balancer;
+        match ending {
+            Ending::Error | Ending::TimedOut | Ending::Unreachable | Ending::Broken => {
+                server.judge(now, false)
+            }
+            // Full is capacity, not sickness.
+            Ending::Full => server.distrust(now, 0.7, balancer.memory()),
+            Ending::Served | Ending::Cancelled | Ending::NotSent => {}
+        }
+        if ending == Ending::Cancelled && balancer.park > 0.0 {
+            self.park(now, &server);
+        }
+        if ending.may_have_run() && self.may_have_run.get().is_none() {
+            let sent_at = self.legs.borrow()[leg].sent_at;
+            self.may_have_run.set(Some((server.zone, server.cell, sent_at)));
+        }
+        if last || self.stage.get() == Stage::Standing {
+            self.stage.set(Stage::Answered);
+        } else if self.stage.get() == Stage::Waiting && !self.legs.borrow().iter().any(|l| l.out) {
+            self.next_leg(now);
+        }
+    }
+
+    fn park(&self, now: f64, server: &Rc<Server>) {
+        let mut parked = self.balancer.parked.borrow_mut();
+        while parked.front().is_some_and(|(until, ..)| *until <= now) {
+            parked.pop_front();
+        }
+        if let Some(key) = self.wanted.key {
+            parked.push_back((now + self.balancer.park, key, Rc::downgrade(server)));
+        }
+    }
+
+    /// The client left before an answer, or was cut off; none is owed.
+    pub fn left(&self) {
+        self.stage.set(Stage::Answered);
+    }
+
+    /// Where two legs may be out at once, the second starts when the first takes long.
+    pub fn woken(self: &Rc<Self>, now: f64) {
+        let repeatable = self.balancer.traffic[self.wanted.traffic].effect == Effect::Repeatable;
+        if self.stage.get() == Stage::Waiting && self.balancer.legs.two_at_once && repeatable {
+            let _ = now;
+        }
+    }
+}
