R_i is cut to what a server has shown it carries, and the excess moves

Cause: overdriven servers drop what they hold and the returning crowd keeps them so. A message delay, a full, or a dropped connection now cuts the server's limit under the load it holds; beyond the limit it gets nothing, and some of its connections end politely.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -18,6 +18,10 @@
 const K: f64 = 0.2;
 /// A server is judged by its last few outcomes: this many.
 const FEW: u32 = 8;
+/// A server is overdriven once a message takes this part of the shortest message target.
+const SLOW: f64 = 0.5;
+/// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
+const SETTLE: f64 = 0.3;
 
 /// Following the list of servers where it must be asked for.
 pub struct Watch {
@@ -105,9 +109,11 @@
     counted: Cell<u32>,
     judged_at: Cell<f64>,
     tried_at: Cell<f64>,
-    /// What evidence of slowness leaves of R_i.
-    trust: Cell<f64>,
-    trust_at: Cell<f64>,
+    /// The most own load this server has shown it carries, in grains; it cuts R_i and closes the server to more.
+    limit: Cell<f64>,
+    cut_at: Cell<f64>,
+    /// Own calls here, by the order they were placed in; an entry goes with its leg.
+    calls: RefCell<BTreeMap<u64, Weak<Call>>>,
     /// Budget of a cold server, in connections.
     budget: Cell<f64>,
     budget_at: Cell<f64>,
@@ -132,8 +138,9 @@
             counted: Cell::new(0),
             judged_at: Cell::new(now),
             tried_at: Cell::new(f64::NEG_INFINITY),
-            trust: Cell::new(1.0),
-            trust_at: Cell::new(now),
+            limit: Cell::new(f64::INFINITY),
+            cut_at: Cell::new(now),
+            calls: RefCell::new(BTreeMap::new()),
             budget: Cell::new(0.0),
             budget_at: Cell::new(now),
             groups: RefCell::new(BTreeMap::new()),
@@ -157,15 +164,15 @@
         self.counted.get() >= 2 && 2 * well < self.counted.get()
     }
 
-    fn distrust(&self, now: f64, factor: f64, recovery: f64) {
-        let trust = self.trusted(now, recovery);
-        self.trust.set((trust * factor).max(0.02));
-        self.trust_at.set(now);
+    /// The limit now: it grows back evenly in the logarithm, `growth` seconds for each e-fold.
+    fn limit(&self, now: f64, growth: f64) -> f64 {
+        self.limit.get() * ((now - self.cut_at.get()) / growth).exp()
     }
 
-    /// Trust grows back evenly in the logarithm, over `recovery` seconds for each e-fold.
-    fn trusted(&self, now: f64, recovery: f64) -> f64 {
-        (self.trust.get() * ((now - self.trust_at.get()) / recovery).exp()).min(1.0)
+    /// Overdriven: what it holds now, less a part, is the most it carries.
+    fn cut(&self, now: f64, part: f64, growth: f64) {
+        self.limit.set(self.limit(now, growth).min(self.load.get() as f64) * part);
+        self.cut_at.set(now);
     }
 }
 
@@ -178,6 +185,7 @@
 }
 
 struct Leg {
+    place: u64,
     server: Rc<Server>,
     sent_at: f64,
     load: i64,
@@ -220,6 +228,9 @@
     /// Connections sent to warm servers a second and unit of weight, smoothed: what a server here carries.
     pace: Cell<f64>,
     pace_at: Cell<f64>,
+    /// Legs placed so far; the next one's number.
+    placed: Cell<u64>,
+    best_revenue: f64,
     longest_guard: f64,
     shortest_message: f64,
     /// Keys of connections that went elsewhere, kept while a server may still hold them.
@@ -246,6 +257,7 @@
     ) -> Rc<Balancer> {
         let longest_guard = traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
         let shortest_message = traffic.iter().map(|t| t.message_target).fold(f64::INFINITY, f64::min);
+        let best_revenue = traffic.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
         let balancer = Rc::new_cyclic(|me| Balancer {
             me: me.clone(),
             door,
@@ -264,6 +276,8 @@
             weights: Cell::new(0.0),
             pace: Cell::new(0.0),
             pace_at: Cell::new(now),
+            placed: Cell::new(0),
+            best_revenue,
             longest_guard,
             shortest_message,
             parked: RefCell::new(VecDeque::new()),
@@ -321,7 +335,7 @@
                         server.started.set(started);
                         server.counted.set(0);
                         server.outcomes.set(0);
-                        server.trust.set(1.0);
+                        server.limit.set(f64::INFINITY);
                         server.budget.set(0.0);
                         server.budget_at.set(now);
                     }
@@ -395,7 +409,8 @@
         let servers = self.servers.borrow();
         let (memory, total) = (self.memory(), self.load.get() as f64);
         let per_weight = total / self.weights.get().max(f64::MIN_POSITIVE);
-        let mean = self.mean_load() * GRAIN;
+        let (mean, growth) = (self.mean_load() * GRAIN, self.memory());
+        let (wanted, worth) = (0.5 * call.rate.get() * GRAIN, 0.7 + 0.3 * call.worth());
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
         let (mut second, mut weights) = (None::<(f64, &Rc<Server>)>, 0.0);
@@ -411,9 +426,13 @@
                 continue;
             }
             let share = weight * per_weight;
-            let mut left =
-                share * factor.min(server.trusted(now, memory) * factor.abs()) - server.load.get() as f64;
-            left -= server.others.get();
+            let (load, limit) = (server.load.get() as f64, server.limit(now, growth));
+            // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
+            // the crowd that returns keeps them so.
+            if load + wanted > limit.max(mean) * worth {
+                continue;
+            }
+            let mut left = (share * factor).min(limit) - load - server.others.get();
             // A new server carries a phantom load at the others' mean, fading over its warm-up.
             left -= share * (1.0 - age / self.thaw.warm_after).max(0.0);
             if let (Some(group), true) = (call.wanted.group, self.group_cost > 0.0) {
@@ -469,6 +488,28 @@
         server.tried_at.set(now);
     }
 
+    /// Cuts a server's limit, and ends politely as many own connections as go beyond it; their clients come
+    /// again and are placed where there is room. Bounded: once a settling time, a quarter of them at most.
+    fn overdriven(&self, now: f64, server: &Rc<Server>, part: f64) {
+        if now - server.cut_at.get() < SETTLE * self.longest_guard && server.limit.get().is_finite() {
+            return;
+        }
+        server.cut(now, part, self.memory());
+        let calls = server.calls.borrow();
+        let mut standing: Vec<Rc<Call>> =
+            calls.values().filter_map(Weak::upgrade).filter(|c| c.stage.get() == Stage::Standing).collect();
+        standing.sort_by(|a, b| a.worth().total_cmp(&b.worth()).then(b.rate.get().total_cmp(&a.rate.get())));
+        let mut excess = server.load.get() as f64 - server.limit.get();
+        let most = standing.len() / 4;
+        for call in standing.into_iter().take(most) {
+            let load = call.rate.get() * call.busy.get() * GRAIN;
+            if load > 0.0 && load < 1.5 * excess {
+                excess -= load;
+                self.door.relocate(call.id);
+            }
+        }
+    }
+
     fn sum(&self, server: &Server, change: i64) {
         server.load.set(server.load.get() + change);
         self.load.set(self.load.get() + change);
@@ -537,7 +578,7 @@
         found.2.upgrade().filter(|s| s.state.get() == State::Ready && self.allows(now, s))
     }
 
-    fn place(&self, now: f64, server: Rc<Server>) {
+    fn place(self: &Rc<Self>, now: f64, server: Rc<Server>) {
         let load = (self.rate.get() * self.busy.get() * GRAIN) as i64;
         self.balancer.sum(&server, load);
         self.balancer.held.set(self.balancer.held.get() + 1);
@@ -545,7 +586,10 @@
         if let Some(group) = self.wanted.group {
             *server.groups.borrow_mut().entry(group).or_insert(0) += 1;
         }
-        self.legs.borrow_mut().push(Leg { server, sent_at: now, load, out: true });
+        let place = self.balancer.placed.get();
+        self.balancer.placed.set(place + 1);
+        server.calls.borrow_mut().insert(place, Rc::downgrade(self));
+        self.legs.borrow_mut().push(Leg { place, server, sent_at: now, load, out: true });
     }
 
     /// An ended leg leaves the sums at once.
@@ -555,6 +599,7 @@
         leg.out = false;
         let server = leg.server.clone();
         self.balancer.sum(&server, -leg.load);
+        server.calls.borrow_mut().remove(&leg.place);
         self.balancer.held.set(self.balancer.held.get() - 1);
         server.held.set(server.held.get() - 1);
         if let Some(group) = self.wanted.group {
@@ -609,14 +654,21 @@
         }
     }
 
+    /// What serving it earns, against the best-paid traffic within its shop's share.
+    fn worth(&self) -> f64 {
+        let balancer = &self.balancer;
+        balancer.traffic[self.wanted.traffic].revenue / balancer.best_revenue
+    }
+
     /// How long a message takes at this call's server now.
     pub fn messages_take(&self, now: f64, leg: usize, delay: f64) {
-        let balancer = &self.balancer;
-        if let Some(leg) = self.legs.borrow().get(leg) {
-            let slow = (delay / balancer.shortest_message).min(1.0);
-            if slow > 1.0 / 3.0 {
-                leg.server.distrust(now, 1.0 - 0.3 * slow, balancer.memory());
-            }
+        let server = match self.legs.borrow().get(leg) {
+            Some(leg) => leg.server.clone(),
+            None => return,
+        };
+        let slow = delay / self.balancer.shortest_message;
+        if slow > SLOW {
+            self.balancer.overdriven(now, &server, (SLOW / slow).clamp(0.8, 0.97));
         }
     }
 
@@ -624,11 +676,15 @@
         let Some(server) = self.unplace(leg) else { return };
         let balancer = &self.balancer;
         match ending {
+            Ending::Broken if self.stage.get() == Stage::Standing => {
+                server.judge(now, false);
+                balancer.overdriven(now, &server, 0.97);
+            }
             Ending::Error | Ending::TimedOut | Ending::Unreachable | Ending::Broken => {
                 server.judge(now, false)
             }
             // Full is capacity, not sickness.
-            Ending::Full => server.distrust(now, 0.7, balancer.memory()),
+            Ending::Full => balancer.overdriven(now, &server, 0.97),
             Ending::Served | Ending::Cancelled | Ending::NotSent => {}
         }
         if ending == Ending::Cancelled && balancer.park > 0.0 {
