--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -231,6 +231,8 @@
     /// Legs placed so far; the next one's number.
     placed: Cell<u64>,
     best_revenue: f64,
+    /// The part of the servers, by weight, that looked sick at the last pick.
+    sick_share: Cell<f64>,
     longest_guard: f64,
     shortest_message: f64,
     /// Keys of connections that went elsewhere, kept while a server may still hold them.
@@ -278,6 +280,7 @@
             pace_at: Cell::new(now),
             placed: Cell::new(0),
             best_revenue,
+            sick_share: Cell::new(0.0),
             longest_guard,
             shortest_message,
             parked: RefCell::new(VecDeque::new()),
@@ -413,7 +416,9 @@
         let (wanted, worth) = (0.5 * call.rate.get() * GRAIN, 0.7 + 0.3 * call.worth());
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
-        let (mut second, mut weights) = (None::<(f64, &Rc<Server>)>, 0.0);
+        let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
+        // When most look sick, the fault may be on our own side, and they are as good as any.
+        let suspect_own_side = self.sick_share.get() > 0.5;
         for server in servers.iter() {
             if server.state.get() != State::Ready || !call.allows(now, server) {
                 continue;
@@ -421,6 +426,7 @@
             let weight = server.weight.get();
             let factor = self.place.factor(server.zone);
             weights += weight * factor.max(0.0);
+            ready += weight;
             let age = now - server.started.get();
             if age < self.thaw.warm_after && !self.within_budget(now, server, age) {
                 continue;
@@ -440,14 +446,18 @@
                     left -= self.group_cost * mean;
                 }
             }
-            let tried = legs.iter().any(|l| Rc::ptr_eq(&l.server, server));
             let rested = now - server.judged_at.get().max(server.tried_at.get()) > self.longest_guard;
-            if tried || (server.sick(now, memory) && !rested) {
-                if second.is_none_or(|(most, _)| left > most) {
-                    second = Some((left, server));
+            if server.sick(now, memory) && !rested {
+                sick += weight;
+                if suspect_own_side {
+                    second = second.filter(|(most, _)| left <= *most).or(Some((left, server)));
                 }
                 continue;
             }
+            if legs.iter().any(|l| Rc::ptr_eq(&l.server, server)) {
+                second = second.filter(|(most, _)| left <= *most).or(Some((left, server)));
+                continue;
+            }
             match best {
                 Some((most, _)) if left < most => {}
                 Some((most, _)) if left == most => {
@@ -460,6 +470,7 @@
             }
         }
         self.weights.set(weights);
+        self.sick_share.set(sick / ready.max(f64::MIN_POSITIVE));
         best.or(second).map(|(_, server)| server.clone())
     }
 
