--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -21,6 +21,8 @@
 /// A server is overdriven once a message takes this part of the shortest message target.
 const SLOW: f64 = 0.5;
 /// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
+/// A server takes new connections up to this part of its limit; the rest is for what changes of itself.
+const ROOM: f64 = 0.85;
 const SETTLE: f64 = 0.3;
 
 /// Following the list of servers where it must be asked for.
@@ -413,7 +415,7 @@
         let (memory, total) = (self.memory(), self.load.get() as f64);
         let per_weight = total / self.weights.get().max(f64::MIN_POSITIVE);
         let (mean, growth) = (self.mean_load() * GRAIN, self.memory());
-        let (wanted, worth) = (0.5 * call.rate.get() * GRAIN, 0.7 + 0.3 * call.worth());
+        let wanted = 0.5 * call.rate.get() * GRAIN;
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
         let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
@@ -435,7 +437,7 @@
             let (load, limit) = (server.load.get() as f64, server.limit(now, growth));
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
-            if load + wanted > limit.max(mean) * worth {
+            if load + wanted > ROOM * limit.max(mean) {
                 continue;
             }
             let mut left = (share * factor).min(limit) - load - server.others.get();
@@ -509,7 +511,7 @@
         let calls = server.calls.borrow();
         let mut standing: Vec<Rc<Call>> =
             calls.values().filter_map(Weak::upgrade).filter(|c| c.stage.get() == Stage::Standing).collect();
-        standing.sort_by(|a, b| a.worth().total_cmp(&b.worth()).then(b.rate.get().total_cmp(&a.rate.get())));
+        standing.sort_by(|a, b| b.rate.get().total_cmp(&a.rate.get()));
         let mut excess = server.load.get() as f64 - server.limit.get();
         let most = standing.len() / 4;
         for call in standing.into_iter().take(most) {
