--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -680,8 +680,8 @@
             None => return,
         };
         let slow = delay / self.balancer.shortest_message;
-        if slow > SLOW {
-            self.balancer.overdriven(now, &server, (SLOW / slow).clamp(0.8, 0.97));
+        if slow > SLOW / 1.5 {
+            self.balancer.overdriven(now, &server, (SLOW / slow).clamp(0.8, 1.0));
         }
     }
 
