--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -420,7 +420,7 @@
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
         let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
         // When most look sick, the fault may be on our own side, and they are as good as any.
-        let suspect_own_side = self.sick_share.get() > 0.9;
+        let suspect_own_side = self.sick_share.get() > 0.5;
         for server in servers.iter() {
             if server.state.get() != State::Ready || !call.allows(now, server) {
                 continue;
