--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -20,6 +20,8 @@
 const FEW: u32 = 8;
 /// A server is overdriven once a message takes this part of the shortest message target.
 const SLOW: f64 = 0.5;
+/// Rule 4's budget is spent to this part.
+const MARGIN: f64 = 0.5;
 /// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
 /// A server takes new connections up to this part of its limit; the rest is for what changes of itself.
 const ROOM: f64 = 0.85;
@@ -227,9 +229,8 @@
     held: Cell<u32>,
     /// Weights of the servers that the last pick could choose from, as R_i's divisor.
     weights: Cell<f64>,
-    /// Connections sent to warm servers a second and unit of weight, smoothed: what a server here carries.
-    pace: Cell<f64>,
-    pace_at: Cell<f64>,
+    /// Own connections on a warm server for each unit of its weight, at the last pick.
+    held_by_weight: Cell<f64>,
     /// Legs placed so far; the next one's number.
     placed: Cell<u64>,
     best_revenue: f64,
@@ -278,8 +279,7 @@
             load: Cell::new(0),
             held: Cell::new(0),
             weights: Cell::new(0.0),
-            pace: Cell::new(0.0),
-            pace_at: Cell::new(now),
+            held_by_weight: Cell::new(0.0),
             placed: Cell::new(0),
             best_revenue,
             sick_share: Cell::new(0.0),
@@ -419,6 +419,7 @@
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
         let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
+        let mut warm = (0.0, 0.0);
         // When most look sick, the fault may be on our own side, and they are as good as any.
         let suspect_own_side = self.sick_share.get() > 0.5;
         for server in servers.iter() {
@@ -430,7 +431,10 @@
             weights += weight * factor.max(0.0);
             ready += weight;
             let age = now - server.started.get();
-            if age < self.thaw.warm_after && !self.within_budget(now, server, age) {
+            if age >= self.thaw.warm_after {
+                warm.0 += f64::from(server.held.get());
+                warm.1 += weight;
+            } else if !self.within_budget(now, server, age) {
                 continue;
             }
             let share = weight * per_weight;
@@ -472,30 +476,26 @@
             }
         }
         self.weights.set(weights);
+        self.held_by_weight.set(warm.0 / warm.1.max(f64::MIN_POSITIVE));
         self.sick_share.set(sick / ready.max(f64::MIN_POSITIVE));
         best.or(second).map(|(_, server)| server.clone())
     }
 
-    /// Rule 4: this balancer's part of what a cold server can take, as a budget that fills at the pace of a
-    /// warm server's new connections here, times the present share and the multiple, less a margin.
+    /// Rule 4: this balancer's part of what a cold server can take. A server here holds so many own connections
+    /// for its weight, and one that starts is filled over its warm-up; the budget fills at that pace times the
+    /// present share and the multiple, less a margin, or at one connection a window for all balancers together.
     fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
-        let pace = self.pace.get() * server.weight.get();
-        let fill = 0.5 * self.thaw.multiple * self.thaw.present(age) * pace;
-        let most = (fill * self.thaw.window).max(1.0);
+        let pace = self.held_by_weight.get() * server.weight.get() / self.thaw.warm_after;
+        let least = 1.0 / (self.siblings * self.thaw.window);
+        let fill = (MARGIN * self.thaw.multiple * self.thaw.present(age) * pace).max(least);
         let budget = server.budget.get() + fill * (now - server.budget_at.get()).max(0.0);
-        server.budget.set(budget.min(most));
+        server.budget.set(budget.min((fill * self.thaw.window).max(1.0)));
         server.budget_at.set(now);
         server.budget.get() >= 1.0
     }
 
     fn count_sent(&self, now: f64, server: &Server, load: f64) {
-        let span = self.memory();
-        let fade = (-(now - self.pace_at.get()).max(0.0) / span).exp();
-        let warm = now - server.started.get() >= self.thaw.warm_after;
-        let added = if warm { 1.0 / (span * self.weights.get().max(f64::MIN_POSITIVE)) } else { 0.0 };
-        self.pace.set(self.pace.get() * fade + added);
-        self.pace_at.set(now);
-        if !warm {
+        if now - server.started.get() < self.thaw.warm_after {
             server.budget.set(server.budget.get() - (load / self.mean_load()).max(1.0));
         }
         server.tried_at.set(now);
