--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -513,10 +513,15 @@
             calls.values().filter_map(Weak::upgrade).filter(|c| c.stage.get() == Stage::Standing).collect();
         standing.sort_by(|a, b| b.rate.get().total_cmp(&a.rate.get()));
         let mut excess = server.load.get() as f64 - server.limit.get();
-        let most = standing.len() / 4;
-        for call in standing.into_iter().take(most) {
+        let most = standing.len().div_ceil(4);
+        let mut moved = 0;
+        for (at, call) in standing.iter().enumerate() {
             let load = call.rate.get() * call.busy.get() * GRAIN;
-            if load > 0.0 && load < 1.5 * excess {
+            // Where few connections stand, none fits the excess: then the lightest goes by chance, so that a
+            // server does not stay overdriven because each balancer holds little of what drives it.
+            let last = at + 1 == standing.len() && moved == 0 && self.draw() * load < excess;
+            if moved < most && load > 0.0 && (load < 1.5 * excess || last) {
+                moved += 1;
                 excess -= load;
                 self.door.relocate(call.id);
             }
