--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -168,9 +168,10 @@
         self.counted.get() >= 2 && 2 * well < self.counted.get()
     }
 
-    /// The limit now: it grows back evenly in the logarithm, `growth` seconds for each e-fold.
+    /// The limit now. It grows back slowly at first, so that a server just cut is not driven at once again, and
+    /// faster later, as what is known of it ages: by an e-fold in `growth` seconds.
     fn limit(&self, now: f64, growth: f64) -> f64 {
-        self.limit.get() * ((now - self.cut_at.get()) / growth).exp()
+        self.limit.get() * ((now - self.cut_at.get()) / growth).powi(2).exp()
     }
 
     /// Overdriven: what it holds now, less a part, is the most it carries.
