--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -1,7 +1,7 @@
 //! The instances of one process: what the wire says becomes calls on their balancers.
 
 use crate::door::{Door, Output};
-use dewhead::rules::{Balancer, Call, Legs, Place, Thaw, Watch};
+use dewhead::rules::{Balancer, Call, Legs, Place, Shares, Thaw, Watch};
 use dewhead::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
 use serde_json::Value;
 use std::collections::{HashMap, VecDeque};
@@ -198,7 +198,10 @@
             door.clone(),
             whole(told, "siblings")? as usize,
             traffic,
-            shops.iter().enumerate().map(shop).collect::<Outcome<_>>()?,
+            Shares::new(
+                shops.iter().enumerate().map(shop).collect::<Outcome<_>>()?,
+                maybe(told, "overageRevenue", number)?.unwrap_or(1.0),
+            ),
             Watch::new(ask, maybe(rules, "mustAskIn", seconds)?.unwrap_or(10.0)),
             Place::new(home, number(prices, "crossZone")?),
             thaw,
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -1,6 +1,6 @@
 //! All decisions of the balancer.
 //!
-//! How to call it: build the parts (`Watch`, `Place`, `Thaw`, `Legs`) from the few settings each takes, hand them
+//! How to call it: build the parts (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`) from the few settings each takes, hand them
 //! to `Balancer::start` with a seed and the door (`outward::Outward`), then tell it what happens. `take` gives a
 //! handle to the call, and all that happens to the call later is a method of that handle. Every method takes the
 //! clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`. Why each rule: docs/design.md.
@@ -70,6 +70,36 @@
     }
 }
 
+/// Fairness by shop share: what a shop holds beyond its share gives way first.
+pub struct Shares {
+    shops: Vec<Shop>,
+    /// What traffic beyond a share is worth, against 1 within it.
+    beyond: f64,
+    /// Own connections of each shop.
+    held: Vec<Cell<u32>>,
+}
+
+impl Shares {
+    pub fn new(shops: Vec<Shop>, beyond: f64) -> Shares {
+        let held = shops.iter().map(|_| Cell::new(0)).collect();
+        Shares { shops, beyond, held }
+    }
+
+    fn count(&self, shop: Option<usize>, change: i32) {
+        if let Some(held) = shop.and_then(|s| self.held.get(s)) {
+            held.set(held.get().saturating_add_signed(change));
+        }
+    }
+
+    /// 1 within the shop's share, less beyond: this balancer's part of it is one of `siblings`.
+    fn worth(&self, shop: Option<usize>, siblings: f64) -> f64 {
+        match shop.and_then(|s| Some((self.shops.get(s)?.standing / siblings, self.held.get(s)?.get()))) {
+            Some((part, held)) if part > 0.0 && f64::from(held) > part => self.beyond,
+            _ => 1.0,
+        }
+    }
+}
+
 /// Rule 4: how much a server that has just started is sent.
 pub struct Thaw {
     pub cold_share: f64,
@@ -218,7 +248,7 @@
     chance: RefCell<Rand64>,
     siblings: f64,
     traffic: Vec<TrafficType>,
-    shops: Vec<Shop>,
+    shares: Shares,
     watch: Watch,
     place: Place,
     thaw: Thaw,
@@ -234,7 +264,6 @@
     held_by_weight: Cell<f64>,
     /// Legs placed so far; the next one's number.
     placed: Cell<u64>,
-    best_revenue: f64,
     /// The part of the servers, by weight, that looked sick at the last pick.
     sick_share: Cell<f64>,
     longest_guard: f64,
@@ -253,7 +282,7 @@
         door: Rc<dyn Outward>,
         siblings: usize,
         traffic: Vec<TrafficType>,
-        shops: Vec<Shop>,
+        shares: Shares,
         watch: Watch,
         place: Place,
         thaw: Thaw,
@@ -263,14 +292,13 @@
     ) -> Rc<Balancer> {
         let longest_guard = traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
         let shortest_message = traffic.iter().map(|t| t.message_target).fold(f64::INFINITY, f64::min);
-        let best_revenue = traffic.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
         let balancer = Rc::new_cyclic(|me| Balancer {
             me: me.clone(),
             door,
             chance: RefCell::new(Rand64::new(seed)),
             siblings: siblings.max(1) as f64,
             traffic,
-            shops,
+            shares,
             watch,
             place,
             thaw,
@@ -282,7 +310,6 @@
             weights: Cell::new(0.0),
             held_by_weight: Cell::new(0.0),
             placed: Cell::new(0),
-            best_revenue,
             sick_share: Cell::new(0.0),
             longest_guard,
             shortest_message,
@@ -417,6 +444,8 @@
         let per_weight = total / self.weights.get().max(f64::MIN_POSITIVE);
         let (mean, growth) = (self.mean_load() * GRAIN, self.memory());
         let wanted = 0.5 * call.rate.get() * GRAIN;
+        // A shop beyond its share stops earlier, so that the others keep theirs when there is not enough.
+        let room = ROOM * (0.5 + 0.5 * self.shares.worth(call.wanted.shop, self.siblings));
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
         let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
@@ -442,7 +471,7 @@
             let (load, limit) = (server.load.get() as f64, server.limit(now, growth));
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
-            if load + wanted > ROOM * limit.max(mean) {
+            if load + wanted > room * limit.max(mean) {
                 continue;
             }
             let mut left = (share * factor).min(limit) - load - server.others.get();
@@ -512,7 +541,7 @@
         let calls = server.calls.borrow();
         let mut standing: Vec<Rc<Call>> =
             calls.values().filter_map(Weak::upgrade).filter(|c| c.stage.get() == Stage::Standing).collect();
-        standing.sort_by(|a, b| b.rate.get().total_cmp(&a.rate.get()));
+        standing.sort_by(|a, b| a.worth().total_cmp(&b.worth()).then(b.rate.get().total_cmp(&a.rate.get())));
         let mut excess = server.load.get() as f64 - server.limit.get();
         let most = standing.len().div_ceil(4);
         let mut moved = 0;
@@ -601,6 +630,7 @@
         let load = (self.rate.get() * self.busy.get() * GRAIN) as i64;
         self.balancer.sum(&server, load);
         self.balancer.held.set(self.balancer.held.get() + 1);
+        self.balancer.shares.count(self.wanted.shop, 1);
         server.held.set(server.held.get() + 1);
         if let Some(group) = self.wanted.group {
             *server.groups.borrow_mut().entry(group).or_insert(0) += 1;
@@ -620,6 +650,7 @@
         self.balancer.sum(&server, -leg.load);
         server.calls.borrow_mut().remove(&leg.place);
         self.balancer.held.set(self.balancer.held.get() - 1);
+        self.balancer.shares.count(self.wanted.shop, -1);
         server.held.set(server.held.get() - 1);
         if let Some(group) = self.wanted.group {
             let mut groups = server.groups.borrow_mut();
@@ -673,10 +704,8 @@
         }
     }
 
-    /// What serving it earns, against the best-paid traffic within its shop's share.
     fn worth(&self) -> f64 {
-        let balancer = &self.balancer;
-        balancer.traffic[self.wanted.traffic].revenue / balancer.best_revenue
+        self.balancer.shares.worth(self.wanted.shop, self.balancer.siblings)
     }
 
     /// How long a message takes at this call's server now.
