--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -1,7 +1,7 @@
 //! The instances of one process: what the wire says becomes calls on their balancers.
 
 use crate::door::{Door, Output};
-use dewhead::rules::{Balancer, Call, Legs, Place, Shares, Thaw, Watch};
+use dewhead::rules::{Balancer, Call, Legs, Place, Probes, Shares, Thaw, Watch};
 use dewhead::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
 use serde_json::Value;
 use std::collections::{HashMap, VecDeque};
@@ -17,7 +17,8 @@
     zones: Vec<String>,
     traffic: Vec<String>,
     shops: Vec<String>,
-    report: Vec<String>,
+    /// Where in a load report the load asked over the load possible stands.
+    asked_field: Option<usize>,
     /// Calls the wire may still speak of; one leaves when it is over.
     calls: HashMap<u64, Rc<Call>>,
     /// Calls that are over, for `ECHO_MS`: an event about one of them is late, not wrong.
@@ -177,6 +178,9 @@
             let standing = quotas.and_then(|q| q.get(at)).and_then(Value::as_f64).unwrap_or(0.0);
             Ok(Shop { share: number(one, "share")?, standing })
         };
+        let feedback = field(told, "feedback")?;
+        let reported = text(feedback, "how")? != "off";
+        let asked_field = names(feedback, "fields")?.iter().position(|f| reported && f == "x0");
         let door = Rc::new(Door::new(who, output));
         let home = place_in(told, "locality", &zones)?;
         let thaw = Thaw {
@@ -206,6 +210,7 @@
             Place::new(home, number(prices, "crossZone")?),
             thaw,
             legs,
+            Probes::new(truth(limits, "probes")? && asked_field.is_some()),
             if maybe(nature, "groups", truth)?.unwrap_or(false) { 1.0 } else { 0.0 },
             maybe(nature, "park", seconds)?.unwrap_or(0.0),
         );
@@ -218,7 +223,7 @@
             zones,
             traffic: named(listed)?,
             shops: named(shops)?,
-            report: names(field(told, "feedback")?, "fields")?,
+            asked_field,
             calls: HashMap::new(),
             echoes: VecDeque::new(),
         })
@@ -313,7 +318,9 @@
                 None => {}
             },
             "PROBE_RESULT" => {
-                let _ = (server_id(of)?, &self.report);
+                let usage = maybe(of, "usage", array)?;
+                let asked = self.asked_field.and_then(|at| usage?.get(at)?.as_f64());
+                self.balancer.probed(now, server_id(of)?, ending(text(of, "result")?)?, asked);
             }
             "FROM_PEER" => {}
             other => return Err(format!("unknown event '{other}'")),
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -1,6 +1,6 @@
 //! All decisions of the balancer.
 //!
-//! How to call it: build the parts (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`) from the few settings each takes, hand them
+//! How to call it: build the parts (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`, `Probes`) from the few settings each takes, hand them
 //! to `Balancer::start` with a seed and the door (`outward::Outward`), then tell it what happens. `take` gives a
 //! handle to the call, and all that happens to the call later is a method of that handle. Every method takes the
 //! clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`. Why each rule: docs/design.md.
@@ -70,6 +70,19 @@
     }
 }
 
+/// Asking servers for their load, where that is allowed and told.
+pub struct Probes {
+    pub allowed: bool,
+    /// Which server is asked next.
+    turn: Cell<usize>,
+}
+
+impl Probes {
+    pub fn new(allowed: bool) -> Probes {
+        Probes { allowed, turn: Cell::new(0) }
+    }
+}
+
 /// Fairness by shop share: what a shop holds beyond its share gives way first.
 pub struct Shares {
     shops: Vec<Shop>,
@@ -153,8 +166,8 @@
     budget_at: Cell<f64>,
     /// Group -> own connections of it here; an entry goes with its last connection.
     groups: RefCell<BTreeMap<u64, u32>>,
-    /// What the last report says of others' load here, in grains of own load.
-    others: Cell<f64>,
+    /// The last report: load asked over what it can do, own load then, and when.
+    report: Cell<Option<(f64, i64, f64)>>,
 }
 
 impl Server {
@@ -178,7 +191,7 @@
             budget: Cell::new(0.0),
             budget_at: Cell::new(now),
             groups: RefCell::new(BTreeMap::new()),
-            others: Cell::new(0.0),
+            report: Cell::new(None),
         })
     }
 
@@ -253,6 +266,7 @@
     place: Place,
     thaw: Thaw,
     legs: Legs,
+    probes: Probes,
     group_cost: f64,
     /// Sorted by id; a server leaves when it is gone and holds nothing of ours.
     servers: RefCell<Vec<Rc<Server>>>,
@@ -262,6 +276,9 @@
     weights: Cell<f64>,
     /// Own connections on a warm server for each unit of its weight, at the last pick.
     held_by_weight: Cell<f64>,
+    /// The mean of the reported loads, by weight, at the last pick.
+    reported: Cell<f64>,
+    probe_at: Cell<f64>,
     /// Legs placed so far; the next one's number.
     placed: Cell<u64>,
     /// The part of the servers, by weight, that looked sick at the last pick.
@@ -287,6 +304,7 @@
         place: Place,
         thaw: Thaw,
         legs: Legs,
+        probes: Probes,
         group_cost: f64,
         park: f64,
     ) -> Rc<Balancer> {
@@ -303,12 +321,15 @@
             place,
             thaw,
             legs,
+            probes,
             group_cost,
             servers: RefCell::new(Vec::new()),
             load: Cell::new(0),
             held: Cell::new(0),
             weights: Cell::new(0.0),
             held_by_weight: Cell::new(0.0),
+            reported: Cell::new(1.0),
+            probe_at: Cell::new(f64::INFINITY),
             placed: Cell::new(0),
             sick_share: Cell::new(0.0),
             longest_guard,
@@ -320,6 +341,10 @@
         if balancer.watch.must_ask {
             balancer.door.follow_list();
         }
+        if balancer.probes.allowed {
+            balancer.probe_at.set(now);
+            balancer.door.wake(now);
+        }
         balancer
     }
 
@@ -337,6 +362,34 @@
             self.ask_at.set(f64::INFINITY);
             self.door.follow_list();
         }
+        if now >= self.probe_at.get() {
+            self.probe_next(now);
+        }
+    }
+
+    /// Asks the servers in turn, each once in half the longest guard time.
+    fn probe_next(&self, now: f64) {
+        let servers = self.servers.borrow();
+        let turn = self.probes.turn.get() % servers.len().max(1);
+        self.probes.turn.set(turn + 1);
+        if let Some(server) = servers.get(turn).filter(|s| s.state.get() == State::Ready) {
+            self.door.probe(server.id);
+        }
+        let at = now + 0.5 * self.longest_guard / servers.len().max(1) as f64;
+        self.probe_at.set(at);
+        self.door.wake(at);
+    }
+
+    /// A probe's answer: how it ended, and the load asked of the server over what it can do, where told.
+    pub fn probed(&self, now: f64, server: u32, ending: Ending, asked: Option<f64>) {
+        let servers = self.servers.borrow();
+        let Ok(at) = servers.binary_search_by_key(&server, |s| s.id) else { return };
+        let server = &servers[at];
+        match (ending, asked) {
+            (Ending::Served, Some(asked)) => server.report.set(Some((asked, server.load.get(), now))),
+            (Ending::Unreachable | Ending::TimedOut, _) => server.judge(now, false),
+            _ => {}
+        }
     }
 
     pub fn list(&self, now: f64, news: News, entries: &[Listed]) {
@@ -369,6 +422,7 @@
                         server.counted.set(0);
                         server.outcomes.set(0);
                         server.limit.set(f64::INFINITY);
+                        server.report.set(None);
                         server.budget.set(0.0);
                         server.budget_at.set(now);
                     }
@@ -449,7 +503,7 @@
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
         let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
-        let mut warm = (0.0, 0.0);
+        let (mut warm, mut reported) = ((0.0, 0.0), (0.0, 0.0));
         // When most look sick, the fault may be on our own side, and they are as good as any.
         let suspect_own_side = self.sick_share.get() > 0.5;
         for server in servers.iter() {
@@ -474,7 +528,15 @@
             if load + wanted > room * limit.max(mean) {
                 continue;
             }
-            let mut left = (share * factor).min(limit) - load - server.others.get();
+            let mut left = (share * factor).min(limit) - load;
+            if let Some((asked, own, at)) = server.report.get() {
+                // Where reports are had, R_i is also cut by what others hold: the share that the server's
+                // reported load makes of the mean, less what of it is our own. A report fades as it ages.
+                reported.0 += weight * asked;
+                reported.1 += weight;
+                let others = share * asked / self.reported.get().max(0.05) - own as f64;
+                left -= others * (-(now - at) / self.memory()).exp();
+            }
             // A new server carries a phantom load at the others' mean, fading over its warm-up.
             left -= share * (1.0 - age / self.thaw.warm_after).max(0.0);
             if let (Some(group), true) = (call.wanted.group, self.group_cost > 0.0) {
@@ -506,6 +568,9 @@
             }
         }
         self.weights.set(weights);
+        if reported.1 > 0.0 {
+            self.reported.set(reported.0 / reported.1);
+        }
         self.held_by_weight.set(warm.0 / warm.1.max(f64::MIN_POSITIVE));
         self.sick_share.set(sick / ready.max(f64::MIN_POSITIVE));
         best.or(second).map(|(_, server)| server.clone())
