--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -20,6 +20,8 @@
 const FEW: u32 = 8;
 /// A server is overdriven once a message takes this part of the shortest message target.
 const SLOW: f64 = 0.5;
+/// A timer may come this much early, as clocks are rounded on their way; taken for none, the next ask was lost.
+const EARLY: f64 = 1e-3;
 /// Rule 4's budget is spent to this part.
 const MARGIN: f64 = 0.5;
 /// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
@@ -358,11 +360,11 @@
     }
 
     pub fn woken(&self, now: f64) {
-        if now >= self.ask_at.get() {
+        if now + EARLY >= self.ask_at.get() {
             self.ask_at.set(f64::INFINITY);
             self.door.follow_list();
         }
-        if now >= self.probe_at.get() {
+        if now + EARLY >= self.probe_at.get() {
             self.probe_next(now);
         }
     }
