--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -207,7 +207,7 @@
                 maybe(told, "overageRevenue", number)?.unwrap_or(1.0),
             ),
             Watch::new(ask, maybe(rules, "mustAskIn", seconds)?.unwrap_or(10.0)),
-            Place::new(home, number(prices, "crossZone")?),
+            Place::new(home, number(prices, "crossZone")?, number(prices, "moves")?),
             thaw,
             legs,
             Probes::new(truth(limits, "probes")? && asked_field.is_some()),
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -55,12 +55,14 @@
     home: usize,
     /// What is left of a server's R_i when it stands in another zone; under 0 where crossing is dear.
     abroad: f64,
+    /// Whether ending a connection abroad costs little against keeping it there.
+    homecoming: bool,
 }
 
 impl Place {
-    /// `price` is what crossing costs a call, against 1 for serving it.
-    pub fn new(home: usize, price: f64) -> Place {
-        Place { home, abroad: 1.0 - 12.0 * price }
+    /// `price` is what crossing costs a call, and `moving` what a move costs, against 1 for serving it.
+    pub fn new(home: usize, price: f64, moving: f64) -> Place {
+        Place { home, abroad: 1.0 - 12.0 * price, homecoming: price > 4.0 * moving }
     }
 
     fn factor(&self, zone: usize) -> f64 {
@@ -281,6 +283,7 @@
     /// The mean of the reported loads, by weight, at the last pick.
     reported: Cell<f64>,
     probe_at: Cell<f64>,
+    home_at: Cell<f64>,
     /// Legs placed so far; the next one's number.
     placed: Cell<u64>,
     /// The part of the servers, by weight, that looked sick at the last pick.
@@ -332,6 +335,7 @@
             held_by_weight: Cell::new(0.0),
             reported: Cell::new(1.0),
             probe_at: Cell::new(f64::INFINITY),
+            home_at: Cell::new(f64::INFINITY),
             placed: Cell::new(0),
             sick_share: Cell::new(0.0),
             longest_guard,
@@ -343,6 +347,10 @@
         if balancer.watch.must_ask {
             balancer.door.follow_list();
         }
+        if balancer.place.homecoming {
+            balancer.home_at.set(now);
+            balancer.door.wake(now);
+        }
         if balancer.probes.allowed {
             balancer.probe_at.set(now);
             balancer.door.wake(now);
@@ -367,6 +375,35 @@
         if now + EARLY >= self.probe_at.get() {
             self.probe_next(now);
         }
+        if now + EARLY >= self.home_at.get() {
+            self.call_home(now);
+        }
+    }
+
+    /// Connections that stand abroad, after a spill or from before our start, come home while there is room:
+    /// the lightest first, a hundredth of what stands here at a time, none while home servers are near a limit.
+    fn call_home(&self, now: f64) {
+        let at = now + 0.05 * self.longest_guard;
+        self.home_at.set(at);
+        self.door.wake(at);
+        let (servers, memory) = (self.servers.borrow(), self.memory());
+        let mut room = servers.iter().filter(|s| s.zone == self.place.home && s.state.get() == State::Ready);
+        let roomy = |s: &Rc<Server>| {
+            let asked = s.report.get().map_or(0.0, |(asked, ..)| asked);
+            s.load.get() as f64 <= 0.5 * s.limit(now, memory) && asked < 0.7 && !s.sick(now, memory)
+        };
+        if !room.any(roomy) {
+            return;
+        }
+        let mut abroad: Vec<Rc<Call>> = Vec::new();
+        for server in servers.iter().filter(|s| s.zone != self.place.home) {
+            abroad.extend(server.calls.borrow().values().filter_map(Weak::upgrade));
+        }
+        abroad.retain(|c| c.stage.get() == Stage::Standing && now - c.taken_at > self.longest_guard);
+        abroad.sort_by(|a, b| a.rate.get().total_cmp(&b.rate.get()));
+        for call in abroad.iter().take((self.held.get() as usize).div_ceil(100)) {
+            self.door.relocate(call.id);
+        }
     }
 
     /// Asks the servers in turn, each once in half the longest guard time.
