--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -1,7 +1,7 @@
 //! The instances of one process: what the wire says becomes calls on their balancers.
 
 use crate::door::{Door, Output};
-use dewhead::rules::{Balancer, Call, Legs, Place, Probes, Shares, Thaw, Watch};
+use dewhead::state::{Balancer, Call, Legs, Place, Probes, Shares, Thaw, Watch};
 use dewhead::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
 use serde_json::Value;
 use std::collections::{HashMap, VecDeque};
@@ -193,11 +193,11 @@
         let legs = Legs {
             most: whole(limits, "mostLegs")?.min(64) as u32,
             two_at_once: truth(limits, "secondCopies")?,
+            may_withdraw: truth(limits, "cancel")?,
             stay_away: if asked { Some(seconds(limits, "maxRetryAfter")?) } else { None },
         };
         let ask = text(told, "membershipMode")? == "subscribe";
-        let balancer = Balancer::start(
-            now,
+        let balancer = Balancer::new(
             seed,
             door.clone(),
             whole(told, "siblings")? as usize,
@@ -214,6 +214,7 @@
             if maybe(nature, "groups", truth)?.unwrap_or(false) { 1.0 } else { 0.0 },
             maybe(nature, "park", seconds)?.unwrap_or(0.0),
         );
+        balancer.begin(now);
         let named = |list: &[Value]| -> Outcome<Vec<String>> {
             list.iter().map(|one| text(one, "name").map(str::to_owned)).collect()
         };
--- a/crates/dewhead/src/lib.rs
+++ b/crates/dewhead/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod outward;
 pub mod rules;
+pub mod state;
 pub mod terms;
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -1,15 +1,13 @@
 //! All decisions of the balancer.
 //!
-//! How to call it: build the parts (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`, `Probes`) from the few settings each takes, hand them
-//! to `Balancer::start` with a seed and the door (`outward::Outward`), then tell it what happens. `take` gives a
-//! handle to the call, and all that happens to the call later is a method of that handle. Every method takes the
-//! clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`. Why each rule: docs/design.md.
-
-use crate::outward::Outward;
-use crate::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
-use oorandom::Rand64;
+//! How to call it: build the parts of `state.rs` (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`, `Probes`) from the few
+//! settings each takes, hand them to `Balancer::new` with a seed and the door (`outward.rs`), call `begin`, then tell
+//! it what happens. `take` gives a handle to the call, and all that happens to the call later is a method of that
+//! handle. Every method takes the clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`.
+
+use crate::state::{Balancer, Call, Leg, Place, Server, Shares, Stage, Thaw, Watch};
+use crate::terms::{Effect, Ending, Group, Listed, News, State, TrafficType, Wanted};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
 
 /// Loads are summed as whole billionths of a core, so that what was added is exactly what is taken off again.
@@ -29,19 +27,7 @@
 const ROOM: f64 = 0.85;
 const SETTLE: f64 = 0.3;
 
-/// Following the list of servers where it must be asked for.
-pub struct Watch {
-    pub must_ask: bool,
-    /// Without a subscription, the list counts as told after this long.
-    pub deemed_after: f64,
-    pub failures: Cell<u32>,
-}
-
 impl Watch {
-    pub fn new(must_ask: bool, deemed_after: f64) -> Watch {
-        Watch { must_ask, deemed_after, failures: Cell::new(0) }
-    }
-
     /// The pause after a failed call: doubling, spread out, and never so long that a list ages past its use.
     fn pause(&self, chance: f64) -> f64 {
         let failures = self.failures.get();
@@ -50,15 +36,6 @@
     }
 }
 
-/// The price of crossing zones, as a term of Eq. 1.
-pub struct Place {
-    home: usize,
-    /// What is left of a server's R_i when it stands in another zone; under 0 where crossing is dear.
-    abroad: f64,
-    /// Whether ending a connection abroad costs little against keeping it there.
-    homecoming: bool,
-}
-
 impl Place {
     /// `price` is what crossing costs a call, and `moving` what a move costs, against 1 for serving it.
     pub fn new(home: usize, price: f64, moving: f64) -> Place {
@@ -74,34 +51,7 @@
     }
 }
 
-/// Asking servers for their load, where that is allowed and told.
-pub struct Probes {
-    pub allowed: bool,
-    /// Which server is asked next.
-    turn: Cell<usize>,
-}
-
-impl Probes {
-    pub fn new(allowed: bool) -> Probes {
-        Probes { allowed, turn: Cell::new(0) }
-    }
-}
-
-/// Fairness by shop share: what a shop holds beyond its share gives way first.
-pub struct Shares {
-    shops: Vec<Shop>,
-    /// What traffic beyond a share is worth, against 1 within it.
-    beyond: f64,
-    /// Own connections of each shop.
-    held: Vec<Cell<u32>>,
-}
-
 impl Shares {
-    pub fn new(shops: Vec<Shop>, beyond: f64) -> Shares {
-        let held = shops.iter().map(|_| Cell::new(0)).collect();
-        Shares { shops, beyond, held }
-    }
-
     fn count(&self, shop: Option<usize>, change: i32) {
         if let Some(held) = shop.and_then(|s| self.held.get(s)) {
             held.set(held.get().saturating_add_signed(change));
@@ -117,14 +67,6 @@
     }
 }
 
-/// Rule 4: how much a server that has just started is sent.
-pub struct Thaw {
-    pub cold_share: f64,
-    pub warm_after: f64,
-    pub multiple: f64,
-    pub window: f64,
-}
-
 impl Thaw {
     /// 1 when warm, the cold share at the start, evenly between.
     fn present(&self, age: f64) -> f64 {
@@ -136,69 +78,7 @@
     }
 }
 
-/// How many legs a call may have and how they share its time.
-pub struct Legs {
-    pub most: u32,
-    pub two_at_once: bool,
-    /// The longest a client can be asked to stay away; none where it can't be asked.
-    pub stay_away: Option<f64>,
-}
-
-/// One server, as this balancer knows it.
-struct Server {
-    id: u32,
-    zone: usize,
-    cell: u64,
-    weight: Cell<f64>,
-    state: Cell<State>,
-    started: Cell<f64>,
-    /// Sum of r·p over own standing connections and legs out, in grains.
-    load: Cell<i64>,
-    held: Cell<u32>,
-    /// The last few outcomes, newest lowest, 1 a success; emptied by age.
-    outcomes: Cell<u32>,
-    counted: Cell<u32>,
-    judged_at: Cell<f64>,
-    tried_at: Cell<f64>,
-    /// The most own load this server has shown it carries, in grains; it cuts R_i and closes the server to more.
-    limit: Cell<f64>,
-    cut_at: Cell<f64>,
-    /// Own calls here, by the order they were placed in; an entry goes with its leg.
-    calls: RefCell<BTreeMap<u64, Weak<Call>>>,
-    /// Budget of a cold server, in connections.
-    budget: Cell<f64>,
-    budget_at: Cell<f64>,
-    /// Group -> own connections of it here; an entry goes with its last connection.
-    groups: RefCell<BTreeMap<u64, u32>>,
-    /// The last report: load asked over what it can do, own load then, and when.
-    report: Cell<Option<(f64, i64, f64)>>,
-}
-
 impl Server {
-    fn new(now: f64, listed: &Listed) -> Rc<Server> {
-        Rc::new(Server {
-            id: listed.id,
-            zone: listed.zone,
-            cell: listed.cell,
-            weight: Cell::new(listed.weight),
-            state: Cell::new(listed.state),
-            started: Cell::new(listed.started.unwrap_or(f64::NEG_INFINITY)),
-            load: Cell::new(0),
-            held: Cell::new(0),
-            outcomes: Cell::new(0),
-            counted: Cell::new(0),
-            judged_at: Cell::new(now),
-            tried_at: Cell::new(f64::NEG_INFINITY),
-            limit: Cell::new(f64::INFINITY),
-            cut_at: Cell::new(now),
-            calls: RefCell::new(BTreeMap::new()),
-            budget: Cell::new(0.0),
-            budget_at: Cell::new(now),
-            groups: RefCell::new(BTreeMap::new()),
-            report: Cell::new(None),
-        })
-    }
-
     fn judge(&self, now: f64, well: bool) {
         self.outcomes.set((self.outcomes.get() << 1 | u32::from(well)) & ((1 << FEW) - 1));
         self.counted.set((self.counted.get() + 1).min(FEW));
@@ -228,134 +108,20 @@
     }
 }
 
-/// What becomes of a call.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Stage {
-    Waiting,
-    Standing,
-    Answered,
-}
-
-struct Leg {
-    place: u64,
-    server: Rc<Server>,
-    sent_at: f64,
-    load: i64,
-    out: bool,
-}
-
-/// A call that was taken; everything that happens to it is told here.
-pub struct Call {
-    balancer: Rc<Balancer>,
-    id: u64,
-    wanted: Wanted,
-    taken_at: f64,
-    stage: Cell<Stage>,
-    legs: RefCell<Vec<Leg>>,
-    /// First leg that may have run: its zone, its cell, when it was sent.
-    may_have_run: Cell<Option<(usize, u64, f64)>>,
-    rate: Cell<f64>,
-    busy: Cell<f64>,
-    read_at: Cell<f64>,
-}
-
-pub struct Balancer {
-    me: Weak<Balancer>,
-    door: Rc<dyn Outward>,
-    chance: RefCell<Rand64>,
-    siblings: f64,
-    traffic: Vec<TrafficType>,
-    shares: Shares,
-    watch: Watch,
-    place: Place,
-    thaw: Thaw,
-    legs: Legs,
-    probes: Probes,
-    group_cost: f64,
-    /// Sorted by id; a server leaves when it is gone and holds nothing of ours.
-    servers: RefCell<Vec<Rc<Server>>>,
-    load: Cell<i64>,
-    held: Cell<u32>,
-    /// Weights of the servers that the last pick could choose from, as R_i's divisor.
-    weights: Cell<f64>,
-    /// Own connections on a warm server for each unit of its weight, at the last pick.
-    held_by_weight: Cell<f64>,
-    /// The mean of the reported loads, by weight, at the last pick.
-    reported: Cell<f64>,
-    probe_at: Cell<f64>,
-    home_at: Cell<f64>,
-    /// Legs placed so far; the next one's number.
-    placed: Cell<u64>,
-    /// The part of the servers, by weight, that looked sick at the last pick.
-    sick_share: Cell<f64>,
-    longest_guard: f64,
-    shortest_message: f64,
-    /// Keys of connections that went elsewhere, kept while a server may still hold them.
-    parked: RefCell<VecDeque<(f64, u64, Weak<Server>)>>,
-    park: f64,
-    ask_at: Cell<f64>,
-}
-
 impl Balancer {
-    #[allow(clippy::too_many_arguments)]
-    pub fn start(
-        now: f64,
-        seed: u128,
-        door: Rc<dyn Outward>,
-        siblings: usize,
-        traffic: Vec<TrafficType>,
-        shares: Shares,
-        watch: Watch,
-        place: Place,
-        thaw: Thaw,
-        legs: Legs,
-        probes: Probes,
-        group_cost: f64,
-        park: f64,
-    ) -> Rc<Balancer> {
-        let longest_guard = traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
-        let shortest_message = traffic.iter().map(|t| t.message_target).fold(f64::INFINITY, f64::min);
-        let balancer = Rc::new_cyclic(|me| Balancer {
-            me: me.clone(),
-            door,
-            chance: RefCell::new(Rand64::new(seed)),
-            siblings: siblings.max(1) as f64,
-            traffic,
-            shares,
-            watch,
-            place,
-            thaw,
-            legs,
-            probes,
-            group_cost,
-            servers: RefCell::new(Vec::new()),
-            load: Cell::new(0),
-            held: Cell::new(0),
-            weights: Cell::new(0.0),
-            held_by_weight: Cell::new(0.0),
-            reported: Cell::new(1.0),
-            probe_at: Cell::new(f64::INFINITY),
-            home_at: Cell::new(f64::INFINITY),
-            placed: Cell::new(0),
-            sick_share: Cell::new(0.0),
-            longest_guard,
-            shortest_message,
-            parked: RefCell::new(VecDeque::new()),
-            park,
-            ask_at: Cell::new(f64::INFINITY),
-        });
-        if balancer.watch.must_ask {
-            balancer.door.follow_list();
+    /// Begins: asks for the list where it must be asked for, and sets the timers that this deployment needs.
+    pub fn begin(&self, now: f64) {
+        if self.watch.must_ask {
+            self.door.follow_list();
         }
-        if balancer.place.homecoming {
-            balancer.home_at.set(now);
-            balancer.door.wake(now);
+        if self.place.homecoming {
+            self.home_at.set(now);
+            self.door.wake(now);
         }
-        if balancer.probes.allowed {
-            balancer.probe_at.set(now);
-            balancer.door.wake(now);
+        if self.probes.allowed {
+            self.probe_at.set(now);
+            self.door.wake(now);
         }
-        balancer
     }
 
     fn draw(&self) -> f64 {
@@ -470,14 +236,19 @@
             }
         }
         servers.retain(|s| s.state.get() != State::Gone || s.held.get() > 0);
-        let weights = servers.iter().filter(|s| s.state.get() == State::Ready);
-        self.weights.set(weights.map(|s| s.weight.get() * self.place.factor(s.zone).max(0.0)).sum());
+        let ready = || servers.iter().filter(|s| s.state.get() == State::Ready);
+        let all: f64 = ready().map(|s| s.weight.get()).sum();
+        let near: f64 = ready().map(|s| s.weight.get() * self.place.factor(s.zone).max(0.0)).sum();
+        self.weights.set(if near > 0.0 { near } else { all });
+        self.mean_weight.set(all / ready().count().max(1) as f64);
     }
 
     /// A call has come in. The handle is all that its events need.
     pub fn take(&self, now: f64, id: u64, wanted: Wanted) -> Rc<Call> {
         let call = self.handle(now, id, wanted);
-        call.next_leg(now);
+        if !call.next_leg(now) {
+            call.give_up();
+        }
         call
     }
 
@@ -516,6 +287,7 @@
             stage: Cell::new(Stage::Waiting),
             legs: RefCell::new(Vec::new()),
             may_have_run: Cell::new(None),
+            bound: Cell::new(0),
             rate: Cell::new(rate),
             busy: Cell::new(1.0),
             read_at: Cell::new(now),
@@ -542,6 +314,7 @@
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
         let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
+        let mut count: f64 = 0.0;
         let (mut warm, mut reported) = ((0.0, 0.0), (0.0, 0.0));
         // When most look sick, the fault may be on our own side, and they are as good as any.
         let suspect_own_side = self.sick_share.get() > 0.5;
@@ -553,6 +326,7 @@
             let factor = self.place.factor(server.zone);
             weights += weight * factor.max(0.0);
             ready += weight;
+            count += 1.0;
             let age = now - server.started.get();
             if age >= self.thaw.warm_after {
                 warm.0 += f64::from(server.held.get());
@@ -567,7 +341,9 @@
             if load + wanted > room * limit.max(mean) {
                 continue;
             }
-            let mut left = (share * factor).min(limit) - load;
+            // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
+            let price = (1.0 - factor) * per_weight * self.mean_weight.get();
+            let mut left = share.min(limit) - price - load;
             if let Some((asked, own, at)) = server.report.get() {
                 // Where reports are had, R_i is also cut by what others hold: the share that the server's
                 // reported load makes of the mean, less what of it is our own. A report fades as it ages.
@@ -606,7 +382,9 @@
                 _ => (best, ties) = (Some((left, server)), 1.0),
             }
         }
-        self.weights.set(weights);
+        // With no server at home, the others share what there is.
+        self.weights.set(if weights > 0.0 { weights } else { ready });
+        self.mean_weight.set(ready / count.max(1.0));
         if reported.1 > 0.0 {
             self.reported.set(reported.0 / reported.1);
         }
@@ -696,17 +474,17 @@
         }
     }
 
-    fn next_leg(self: &Rc<Self>, now: f64) {
+    /// Sends a further leg, if there is one to send, time for it and a server.
+    fn next_leg(self: &Rc<Self>, now: f64) -> bool {
         let balancer = &self.balancer;
         let sent = self.legs.borrow().len() as u32;
         let guard = self.wanted.until - now;
         if sent >= balancer.legs.most || guard <= 0.0 {
-            return self.give_up();
+            return false;
         }
-        let Some(server) = self.held_at(now).or_else(|| balancer.pick(now, self)) else {
-            return self.give_up();
-        };
-        let target = self.taken_at + balancer.traffic[self.wanted.traffic].setup_target - now;
+        let Some(server) = self.held_at(now).or_else(|| balancer.pick(now, self)) else { return false };
+        let TrafficType { effect, setup_target, .. } = balancer.traffic[self.wanted.traffic];
+        let target = self.taken_at + setup_target - now;
         let last = sent + 1 == balancer.legs.most;
         // A leg leaves time for a further one before the setup target, or else before the guard time.
         let limit = match () {
@@ -714,9 +492,16 @@
             () if target > 0.0 => (target / 2.0).max(guard / 8.0).min(guard),
             () => (guard / 2.0).max(guard.min(target.abs())),
         };
-        balancer.door.send(self.id, server.id, limit);
+        if balancer.legs.two_at_once && effect == Effect::Repeatable && limit < guard && sent == 0 {
+            // Where two may be out, the first leg goes on when the second starts.
+            balancer.door.send(self.id, server.id, guard);
+            balancer.door.wake_call(self.id, now + limit);
+        } else {
+            balancer.door.send(self.id, server.id, limit);
+        }
         balancer.count_sent(now, &server, self.rate.get());
         self.place(now, server);
+        true
     }
 
     /// A connection whose packets went elsewhere for a while goes on where it is still held.
@@ -784,13 +569,18 @@
         self.stage.get() == Stage::Answered && !self.legs.borrow().iter().any(|l| l.out)
     }
 
-    /// The connection stands.
+    /// The connection stands; a second leg still out is called off.
     pub fn established(&self, now: f64, leg: usize) {
         if self.stage.get() == Stage::Waiting {
             self.stage.set(Stage::Standing);
+            self.bound.set(leg);
         }
-        if let Some(leg) = self.legs.borrow().get(leg) {
-            leg.server.judge(now, true);
+        for (at, one) in self.legs.borrow().iter().enumerate() {
+            if at == leg {
+                one.server.judge(now, true);
+            } else if one.out && self.balancer.legs.may_withdraw {
+                self.balancer.door.withdraw(self.id, at as u32);
+            }
         }
     }
 
@@ -828,7 +618,7 @@
         let Some(server) = self.unplace(leg) else { return };
         let balancer = &self.balancer;
         match ending {
-            Ending::Broken if self.stage.get() == Stage::Standing => {
+            Ending::Broken if self.stage.get() == Stage::Standing && self.bound.get() == leg => {
                 server.judge(now, false);
                 balancer.overdriven(now, &server, 0.97);
             }
@@ -846,10 +636,13 @@
             let sent_at = self.legs.borrow()[leg].sent_at;
             self.may_have_run.set(Some((server.zone, server.cell, sent_at)));
         }
-        if last || self.stage.get() == Stage::Standing {
+        if last || (self.stage.get() == Stage::Standing && self.bound.get() == leg) {
             self.stage.set(Stage::Answered);
         } else if self.stage.get() == Stage::Waiting && !self.legs.borrow().iter().any(|l| l.out) {
-            self.next_leg(now);
+            // Held back, a call that no leg can serve would only keep its client from trying elsewhere.
+            if !self.next_leg(now) {
+                self.give_up();
+            }
         }
     }
 
@@ -870,9 +663,10 @@
 
     /// Where two legs may be out at once, the second starts when the first takes long.
     pub fn woken(self: &Rc<Self>, now: f64) {
-        let repeatable = self.balancer.traffic[self.wanted.traffic].effect == Effect::Repeatable;
-        if self.stage.get() == Stage::Waiting && self.balancer.legs.two_at_once && repeatable {
-            let _ = now;
+        let one_out = self.legs.borrow().iter().filter(|l| l.out).count() == 1;
+        let more = (self.legs.borrow().len() as u32) < self.balancer.legs.most;
+        if self.stage.get() == Stage::Waiting && one_out && more {
+            self.next_leg(now);
         }
     }
 }
--- /dev/null
+++ b/crates/dewhead/src/state.rs
@@ -0,0 +1,256 @@
+//! What a balancer keeps: its parts, its servers, its calls and itself. No decision is made here; they are in `rules`.
+
+use crate::outward::Outward;
+use crate::terms::{Listed, Shop, State, TrafficType, Wanted};
+use oorandom::Rand64;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::{Rc, Weak};
+
+/// Following the list of servers where it must be asked for.
+pub struct Watch {
+    pub must_ask: bool,
+    /// Without a subscription, the list counts as told after this long.
+    pub deemed_after: f64,
+    pub failures: Cell<u32>,
+}
+
+/// The price of crossing zones, as a term of Eq. 1.
+pub struct Place {
+    pub(crate) home: usize,
+    /// What is left of a mean server's R_i when it stands in another zone; under 0 where crossing is dear.
+    pub(crate) abroad: f64,
+    /// Whether ending a connection abroad costs little against keeping it there.
+    pub(crate) homecoming: bool,
+}
+
+/// Asking servers for their load, where that is allowed and told.
+pub struct Probes {
+    pub allowed: bool,
+    /// Which server is asked next.
+    pub(crate) turn: Cell<usize>,
+}
+
+impl Probes {
+    pub fn new(allowed: bool) -> Probes {
+        Probes { allowed, turn: Cell::new(0) }
+    }
+}
+
+/// Fairness by shop share: what a shop holds beyond its share gives way first.
+pub struct Shares {
+    pub(crate) shops: Vec<Shop>,
+    /// What traffic beyond a share is worth, against 1 within it.
+    pub(crate) beyond: f64,
+    /// Own connections of each shop.
+    pub(crate) held: Vec<Cell<u32>>,
+}
+
+/// Rule 4: how much a server that has just started is sent.
+pub struct Thaw {
+    pub cold_share: f64,
+    pub warm_after: f64,
+    pub multiple: f64,
+    pub window: f64,
+}
+
+/// How many legs a call may have and how they share its time.
+pub struct Legs {
+    pub most: u32,
+    pub two_at_once: bool,
+    pub may_withdraw: bool,
+    /// The longest a client can be asked to stay away; none where it can't be asked.
+    pub stay_away: Option<f64>,
+}
+
+/// One server, as this balancer knows it.
+pub(crate) struct Server {
+    pub(crate) id: u32,
+    pub(crate) zone: usize,
+    pub(crate) cell: u64,
+    pub(crate) weight: Cell<f64>,
+    pub(crate) state: Cell<State>,
+    pub(crate) started: Cell<f64>,
+    /// Sum of r·p over own standing connections and legs out, in grains.
+    pub(crate) load: Cell<i64>,
+    pub(crate) held: Cell<u32>,
+    /// The last few outcomes, newest lowest, 1 a success; emptied by age.
+    pub(crate) outcomes: Cell<u32>,
+    pub(crate) counted: Cell<u32>,
+    pub(crate) judged_at: Cell<f64>,
+    pub(crate) tried_at: Cell<f64>,
+    /// The most own load this server has shown it carries, in grains; it cuts R_i and closes the server to more.
+    pub(crate) limit: Cell<f64>,
+    pub(crate) cut_at: Cell<f64>,
+    /// Own calls here, by the order they were placed in; an entry goes with its leg.
+    pub(crate) calls: RefCell<BTreeMap<u64, Weak<Call>>>,
+    /// Budget of a cold server, in connections.
+    pub(crate) budget: Cell<f64>,
+    pub(crate) budget_at: Cell<f64>,
+    /// Group -> own connections of it here; an entry goes with its last connection.
+    pub(crate) groups: RefCell<BTreeMap<u64, u32>>,
+    /// The last report: load asked over what it can do, own load then, and when.
+    pub(crate) report: Cell<Option<(f64, i64, f64)>>,
+}
+
+impl Server {
+    pub(crate) fn new(now: f64, listed: &Listed) -> Rc<Server> {
+        Rc::new(Server {
+            id: listed.id,
+            zone: listed.zone,
+            cell: listed.cell,
+            weight: Cell::new(listed.weight),
+            state: Cell::new(listed.state),
+            started: Cell::new(listed.started.unwrap_or(f64::NEG_INFINITY)),
+            load: Cell::new(0),
+            held: Cell::new(0),
+            outcomes: Cell::new(0),
+            counted: Cell::new(0),
+            judged_at: Cell::new(now),
+            tried_at: Cell::new(f64::NEG_INFINITY),
+            limit: Cell::new(f64::INFINITY),
+            cut_at: Cell::new(now),
+            calls: RefCell::new(BTreeMap::new()),
+            budget: Cell::new(0.0),
+            budget_at: Cell::new(now),
+            groups: RefCell::new(BTreeMap::new()),
+            report: Cell::new(None),
+        })
+    }
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Stage {
+    Waiting,
+    Standing,
+    Answered,
+}
+
+pub(crate) struct Leg {
+    pub(crate) place: u64,
+    pub(crate) server: Rc<Server>,
+    pub(crate) sent_at: f64,
+    pub(crate) load: i64,
+    pub(crate) out: bool,
+}
+
+/// A call that was taken; everything that happens to it is told here.
+pub struct Call {
+    pub(crate) balancer: Rc<Balancer>,
+    pub(crate) id: u64,
+    pub(crate) wanted: Wanted,
+    pub(crate) taken_at: f64,
+    pub(crate) stage: Cell<Stage>,
+    pub(crate) legs: RefCell<Vec<Leg>>,
+    /// First leg that may have run: its zone, its cell, when it was sent.
+    pub(crate) may_have_run: Cell<Option<(usize, u64, f64)>>,
+    /// The leg that the connection stands on.
+    pub(crate) bound: Cell<usize>,
+    pub(crate) rate: Cell<f64>,
+    pub(crate) busy: Cell<f64>,
+    pub(crate) read_at: Cell<f64>,
+}
+
+pub struct Balancer {
+    pub(crate) me: Weak<Balancer>,
+    pub(crate) door: Rc<dyn Outward>,
+    pub(crate) chance: RefCell<Rand64>,
+    pub(crate) siblings: f64,
+    pub(crate) traffic: Vec<TrafficType>,
+    pub(crate) shares: Shares,
+    pub(crate) watch: Watch,
+    pub(crate) place: Place,
+    pub(crate) thaw: Thaw,
+    pub(crate) legs: Legs,
+    pub(crate) probes: Probes,
+    pub(crate) group_cost: f64,
+    /// Sorted by id; a server leaves when it is gone and holds nothing of ours.
+    pub(crate) servers: RefCell<Vec<Rc<Server>>>,
+    pub(crate) load: Cell<i64>,
+    pub(crate) held: Cell<u32>,
+    /// Weights of the servers that the last pick could choose from, as R_i's divisor.
+    pub(crate) weights: Cell<f64>,
+    pub(crate) mean_weight: Cell<f64>,
+    /// Own connections on a warm server for each unit of its weight, at the last pick.
+    pub(crate) held_by_weight: Cell<f64>,
+    /// The mean of the reported loads, by weight, at the last pick.
+    pub(crate) reported: Cell<f64>,
+    pub(crate) probe_at: Cell<f64>,
+    pub(crate) home_at: Cell<f64>,
+    /// Legs placed so far; the next one's number.
+    pub(crate) placed: Cell<u64>,
+    /// The part of the servers, by weight, that looked sick at the last pick.
+    pub(crate) sick_share: Cell<f64>,
+    pub(crate) longest_guard: f64,
+    pub(crate) shortest_message: f64,
+    /// Keys of connections that went elsewhere, kept while a server may still hold them.
+    pub(crate) parked: RefCell<VecDeque<(f64, u64, Weak<Server>)>>,
+    pub(crate) park: f64,
+    pub(crate) ask_at: Cell<f64>,
+}
+
+impl Watch {
+    pub fn new(must_ask: bool, deemed_after: f64) -> Watch {
+        Watch { must_ask, deemed_after, failures: Cell::new(0) }
+    }
+}
+
+impl Shares {
+    pub fn new(shops: Vec<Shop>, beyond: f64) -> Shares {
+        let held = shops.iter().map(|_| Cell::new(0)).collect();
+        Shares { shops, beyond, held }
+    }
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet; `begin` sets it going.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        seed: u128,
+        door: Rc<dyn Outward>,
+        siblings: usize,
+        traffic: Vec<TrafficType>,
+        shares: Shares,
+        watch: Watch,
+        place: Place,
+        thaw: Thaw,
+        legs: Legs,
+        probes: Probes,
+        group_cost: f64,
+        park: f64,
+    ) -> Rc<Balancer> {
+        let longest_guard = traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
+        let shortest_message = traffic.iter().map(|t| t.message_target).fold(f64::INFINITY, f64::min);
+        Rc::new_cyclic(|me| Balancer {
+            me: me.clone(),
+            door,
+            chance: RefCell::new(Rand64::new(seed)),
+            siblings: siblings.max(1) as f64,
+            traffic,
+            shares,
+            watch,
+            place,
+            thaw,
+            legs,
+            probes,
+            group_cost,
+            servers: RefCell::new(Vec::new()),
+            load: Cell::new(0),
+            held: Cell::new(0),
+            weights: Cell::new(0.0),
+            mean_weight: Cell::new(0.0),
+            held_by_weight: Cell::new(0.0),
+            reported: Cell::new(1.0),
+            probe_at: Cell::new(f64::INFINITY),
+            home_at: Cell::new(f64::INFINITY),
+            placed: Cell::new(0),
+            sick_share: Cell::new(0.0),
+            longest_guard,
+            shortest_message,
+            parked: RefCell::new(VecDeque::new()),
+            park,
+            ask_at: Cell::new(f64::INFINITY),
+        })
+    }
+}
