A group's servers are ranked alike at every balancer, as a term of its once-per-server cost

Cause: on narva each server that holds any of a group pays for it, and three balancers spread each group their own way.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -7,6 +7,7 @@
 
 use crate::state::{Balancer, Call, Leg, Place, Server, Shares, Stage, Thaw, Watch};
 use crate::terms::{Effect, Ending, Group, Listed, News, State, TrafficType, Wanted};
+use oorandom::Rand64;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
@@ -356,7 +357,8 @@
             left -= share * (1.0 - age / self.thaw.warm_after).max(0.0);
             if let (Some(group), true) = (call.wanted.group, self.group_cost > 0.0) {
                 if !server.groups.borrow().contains_key(&group) {
-                    left -= self.group_cost * mean;
+                    // Each balancer ranks a group's servers alike, so that its parts meet on the same few.
+                    left -= self.group_cost * mean * (0.5 + 4.0 * rank(group, server.id));
                 }
             }
             let rested = now - server.judged_at.get().max(server.tried_at.get()) > self.longest_guard;
@@ -450,6 +452,12 @@
     }
 }
 
+/// A figure from 0 to 1 that is any balancer's for this group and server.
+fn rank(group: u64, server: u32) -> f64 {
+    let mixed = Rand64::new(u128::from(group) << 32 | u128::from(server)).rand_float();
+    mixed
+}
+
 impl Call {
     /// Rule 2, the servers: where a leg of a referenced call that may have run can be sent again.
     fn allows(&self, now: f64, server: &Server) -> bool {
