--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -21,6 +21,8 @@
 const SLOW: f64 = 0.5;
 /// A timer may come this much early, as clocks are rounded on their way; taken for none, the next ask was lost.
 const EARLY: f64 = 1e-3;
+/// A leg not yet answered counts as this many mean connections more.
+const WAITING: f64 = 2.0;
 /// Rule 4's budget is spent to this part.
 const MARGIN: f64 = 0.5;
 /// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
@@ -273,6 +275,7 @@
             Server::new(now, &unnamed)
         });
         call.place(now, server);
+        call.legs.borrow_mut().iter_mut().for_each(Leg::answered);
         call.stage.set(Stage::Standing);
         call
     }
@@ -344,7 +347,9 @@
             }
             // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
             let price = (1.0 - factor) * per_weight * self.mean_weight.get();
-            let mut left = share.min(limit) - price - load;
+            // Legs not yet answered weigh more: set-up is work of its own, and a server that answers none is slow.
+            let waiting = WAITING * mean * f64::from(server.waiting.get());
+            let mut left = share.min(limit) - price - load - waiting;
             if let Some((asked, own, at)) = server.report.get() {
                 // Where reports are had, R_i is also cut by what others hold: the share that the server's
                 // reported load makes of the mean, less what of it is our own. A report fades as it ages.
@@ -452,6 +457,14 @@
     }
 }
 
+impl Leg {
+    fn answered(&mut self) {
+        if std::mem::take(&mut self.waiting) {
+            self.server.waiting.set(self.server.waiting.get() - 1);
+        }
+    }
+}
+
 /// A figure from 0 to 1 that is any balancer's for this group and server.
 fn rank(group: u64, server: u32) -> f64 {
     let mixed = Rand64::new(u128::from(group) << 32 | u128::from(server)).rand_float();
@@ -539,7 +552,8 @@
         let place = self.balancer.placed.get();
         self.balancer.placed.set(place + 1);
         server.calls.borrow_mut().insert(place, Rc::downgrade(self));
-        self.legs.borrow_mut().push(Leg { place, server, sent_at: now, load, out: true });
+        server.waiting.set(server.waiting.get() + 1);
+        self.legs.borrow_mut().push(Leg { place, server, sent_at: now, load, out: true, waiting: true });
     }
 
     /// An ended leg leaves the sums at once.
@@ -550,6 +564,7 @@
         let server = leg.server.clone();
         self.balancer.sum(&server, -leg.load);
         server.calls.borrow_mut().remove(&leg.place);
+        leg.answered();
         self.balancer.held.set(self.balancer.held.get() - 1);
         self.balancer.shares.count(self.wanted.shop, -1);
         server.held.set(server.held.get() - 1);
@@ -587,8 +602,9 @@
             self.stage.set(Stage::Standing);
             self.bound.set(leg);
         }
-        for (at, one) in self.legs.borrow().iter().enumerate() {
+        for (at, one) in self.legs.borrow_mut().iter_mut().enumerate() {
             if at == leg {
+                one.answered();
                 one.server.judge(now, true);
             } else if one.out && self.balancer.legs.may_withdraw {
                 self.balancer.door.withdraw(self.id, at as u32);
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -74,6 +74,8 @@
     /// Sum of r·p over own standing connections and legs out, in grains.
     pub(crate) load: Cell<i64>,
     pub(crate) held: Cell<u32>,
+    /// Own legs here that have had no answer yet.
+    pub(crate) waiting: Cell<u32>,
     /// The last few outcomes, newest lowest, 1 a success; emptied by age.
     pub(crate) outcomes: Cell<u32>,
     pub(crate) counted: Cell<u32>,
@@ -104,6 +106,7 @@
             started: Cell::new(listed.started.unwrap_or(f64::NEG_INFINITY)),
             load: Cell::new(0),
             held: Cell::new(0),
+            waiting: Cell::new(0),
             outcomes: Cell::new(0),
             counted: Cell::new(0),
             judged_at: Cell::new(now),
@@ -133,6 +136,7 @@
     pub(crate) sent_at: f64,
     pub(crate) load: i64,
     pub(crate) out: bool,
+    pub(crate) waiting: bool,
 }
 
 /// A call that was taken; everything that happens to it is told here.
