--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -104,9 +104,13 @@
         self.limit.get() * ((now - self.cut_at.get()) / growth).powi(2).exp()
     }
 
-    /// Overdriven: what it holds now, less a part, is the most it carries.
+    /// Overdriven: what it holds now, less a part, is the most it carries. Far under what it carried since the
+    /// last cut, a crowd's set-up is the likelier cause, and a limit made of so little would turn the crowd away.
     fn cut(&self, now: f64, part: f64, growth: f64) {
-        self.limit.set(self.limit(now, growth).min(self.load.get() as f64) * part);
+        let (load, carried) = (self.load.get() as f64, self.carried.get());
+        let most = if load < 0.7 * carried { 0.9 * carried } else { load * part };
+        self.limit.set(self.limit(now, growth).min(most));
+        self.carried.set(self.limit.get());
         self.cut_at.set(now);
     }
 }
@@ -230,6 +234,7 @@
                         server.counted.set(0);
                         server.outcomes.set(0);
                         server.limit.set(f64::INFINITY);
+                        server.carried.set(0.0);
                         server.report.set(None);
                         server.budget.set(0.0);
                         server.budget_at.set(now);
@@ -453,6 +458,7 @@
 
     fn sum(&self, server: &Server, change: i64) {
         server.load.set(server.load.get() + change);
+        server.carried.set(server.carried.get().max(server.load.get() as f64));
         self.load.set(self.load.get() + change);
     }
 }
@@ -647,6 +653,9 @@
         let balancer = &self.balancer;
         match ending {
             Ending::Broken if self.stage.get() == Stage::Standing && self.bound.get() == leg => {
+                // What a server drops it has not carried.
+                let dropped = self.rate.get() * self.busy.get() * GRAIN;
+                server.carried.set((server.carried.get() - dropped).max(server.load.get() as f64));
                 server.judge(now, false);
                 balancer.overdriven(now, &server, 0.97);
             }
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -84,6 +84,8 @@
     /// The most own load this server has shown it carries, in grains; it cuts R_i and closes the server to more.
     pub(crate) limit: Cell<f64>,
     pub(crate) cut_at: Cell<f64>,
+    /// The most own load since the last cut, less what the server dropped.
+    pub(crate) carried: Cell<f64>,
     /// Own calls here, by the order they were placed in; an entry goes with its leg.
     pub(crate) calls: RefCell<BTreeMap<u64, Weak<Call>>>,
     /// Budget of a cold server, in connections.
@@ -113,6 +115,7 @@
             tried_at: Cell::new(f64::NEG_INFINITY),
             limit: Cell::new(f64::INFINITY),
             cut_at: Cell::new(now),
+            carried: Cell::new(0.0),
             calls: RefCell::new(BTreeMap::new()),
             budget: Cell::new(0.0),
             budget_at: Cell::new(now),
