--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -337,14 +337,17 @@
             ready += weight;
             count += 1.0;
             let age = now - server.started.get();
+            let (share, load) = (weight * per_weight, server.load.get() as f64);
             if age >= self.thaw.warm_after {
                 warm.0 += f64::from(server.held.get());
                 warm.1 += weight;
-            } else if !self.within_budget(now, server, age) {
+            }
+            // A server just warmed holds little yet, and a crowd would all go there: it fills at its pace too.
+            let filling = age < 3.0 * self.thaw.warm_after && load < 0.5 * share;
+            if (age < self.thaw.warm_after || filling) && !self.within_budget(now, server, age) {
                 continue;
             }
-            let share = weight * per_weight;
-            let (load, limit) = (server.load.get() as f64, server.limit(now, growth));
+            let limit = server.limit(now, growth);
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
             if load + wanted > room * limit.max(mean) {
@@ -423,7 +426,7 @@
     }
 
     fn count_sent(&self, now: f64, server: &Server, load: f64) {
-        if now - server.started.get() < self.thaw.warm_after {
+        if now - server.started.get() < 3.0 * self.thaw.warm_after {
             server.budget.set(server.budget.get() - (load / self.mean_load()).max(1.0));
         }
         server.tried_at.set(now);
