--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -165,7 +165,8 @@
             let asked = s.report.get().map_or(0.0, |(asked, ..)| asked);
             s.load.get() as f64 <= 0.5 * s.limit(now, memory) && asked < 0.7 && !s.sick(now, memory)
         };
-        if !room.any(roomy) {
+        // Called home while others are turned away, connections would only join those.
+        if !room.any(roomy) || now - self.refused_at.get() < self.longest_guard {
             return;
         }
         let mut abroad: Vec<Rc<Call>> = Vec::new();
@@ -255,7 +256,7 @@
     pub fn take(&self, now: f64, id: u64, wanted: Wanted) -> Rc<Call> {
         let call = self.handle(now, id, wanted);
         if !call.next_leg(now) {
-            call.give_up();
+            call.give_up(now);
         }
         call
     }
@@ -589,10 +590,11 @@
         Some(server)
     }
 
-    fn give_up(&self) {
+    fn give_up(&self, now: f64) {
         if self.stage.replace(Stage::Answered) == Stage::Answered {
             return;
         }
+        self.balancer.refused_at.set(now);
         if self.may_reject() {
             self.balancer.door.reject(self.id, self.balancer.legs.stay_away);
         } else {
@@ -681,7 +683,7 @@
         } else if self.stage.get() == Stage::Waiting && !self.legs.borrow().iter().any(|l| l.out) {
             // Held back, a call that no leg can serve would only keep its client from trying elsewhere.
             if !self.next_leg(now) {
-                self.give_up();
+                self.give_up(now);
             }
         }
     }
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -186,6 +186,8 @@
     pub(crate) reported: Cell<f64>,
     pub(crate) probe_at: Cell<f64>,
     pub(crate) home_at: Cell<f64>,
+    /// When a call was last turned away.
+    pub(crate) refused_at: Cell<f64>,
     /// Legs placed so far; the next one's number.
     pub(crate) placed: Cell<u64>,
     /// The part of the servers, by weight, that looked sick at the last pick.
@@ -253,6 +255,7 @@
             reported: Cell::new(1.0),
             probe_at: Cell::new(f64::INFINITY),
             home_at: Cell::new(f64::INFINITY),
+            refused_at: Cell::new(f64::NEG_INFINITY),
             placed: Cell::new(0),
             sick_share: Cell::new(0.0),
             longest_guard,
