--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -477,8 +477,7 @@
 
 /// A figure from 0 to 1 that is any balancer's for this group and server.
 fn rank(group: u64, server: u32) -> f64 {
-    let mixed = Rand64::new(u128::from(group) << 32 | u128::from(server)).rand_float();
-    mixed
+    Rand64::new(u128::from(group) << 32 | u128::from(server)).rand_float()
 }
 
 impl Call {
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -260,3 +260,53 @@
     assert!(ids.contains(&stand.watcher.moved.borrow()[0]));
     assert_eq!(stand.standing(0.1).1, 3);
 }
+
+#[test]
+fn a_crowd_after_a_break_is_let_in_again() {
+    // Incident iae9aaa: limits made of what stood when the crowd's set-up was slow turned the crowd away.
+    let mut stand = Stand::plain();
+    stand.list(News::Whole, &[server(1, 0, 1.0)]);
+    let all: Vec<u64> = (0..40).map(|_| stand.standing(0.1).0).collect();
+    all[1..].iter().for_each(|id| stand.end(*id, 0, Ending::Cancelled));
+    stand.watcher.now.set(101.0);
+    stand.calls[&all[0]].messages_take(101.0, 0, 0.3);
+    let back = (0..30).filter(|_| {
+        let id = stand.take(0, Some(0.1), None);
+        stand.at(id).is_some()
+    });
+    assert!(back.count() >= 12, "it carried 40 a moment ago, if beyond the shares of two shops");
+}
+
+#[test]
+fn a_server_just_warmed_is_no_target_for_a_whole_crowd() {
+    // Incident iccd8ba: every call of a crowd went to the server whose warm-up had just ended.
+    let mut stand = Stand::plain();
+    stand.list(News::Whole, &[server(1, 0, 1.0), server(2, 0, 1.0)]);
+    for _ in 0..80 {
+        stand.standing(0.1);
+    }
+    stand.list(News::Changes, &[Listed { started: Some(92.0), ..server(3, 0, 1.0) }]);
+    stand.watcher.now.set(100.1);
+    let sent = (0..30).filter(|_| stand.standing(0.1).1 == 3).count();
+    assert!(sent <= 10, "{sent} of a crowd of 30");
+}
+
+#[test]
+fn nobody_is_called_home_while_calls_are_turned_away() {
+    let legs = Legs { most: 3, two_at_once: false, may_withdraw: true, stay_away: None };
+    let mut stand = Stand::new(1, legs, 0.12, false, vec![traffic(Effect::Repeatable)]);
+    stand.list(News::Whole, &[server(1, 1, 1.0)]);
+    (0..10).for_each(|_| assert_eq!(stand.standing(0.1).1, 1));
+    stand.list(News::Changes, &[Listed { state: State::Draining, ..server(1, 1, 1.0) }]);
+    stand.watcher.now.set(110.0);
+    stand.take(0, None, None);
+    stand.list(News::Changes, &[server(2, 0, 1.0)]);
+    stand.balancer.woken(110.0);
+    assert!(
+        stand.watcher.moved.borrow().is_empty(),
+        "incident iccd8ba: it would only join those turned away"
+    );
+    stand.watcher.now.set(114.0);
+    stand.balancer.woken(114.0);
+    assert!(!stand.watcher.moved.borrow().is_empty());
+}
