--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -312,7 +312,9 @@
             "ATTEMPT_END" => {
                 let (leg, last) = (whole(of, "roundNo")? as usize, truth(of, "last")?);
                 let ending = ending(text(of, "result")?)?;
+                let asked = self.asked(of)?;
                 self.with_call(wall, of, |call| {
+                    asked.into_iter().for_each(|asked| call.reported(now, leg, asked));
                     call.ended(now, leg, ending, last);
                     Ok(())
                 })?;
@@ -328,8 +330,7 @@
                 None => {}
             },
             "PROBE_RESULT" => {
-                let usage = maybe(of, "usage", array)?;
-                let asked = self.asked_field.and_then(|at| usage?.get(at)?.as_f64());
+                let asked = self.asked(of)?;
                 self.balancer.probed(now, server_id(of)?, ending(text(of, "result")?)?, asked);
             }
             "FROM_PEER" => {}
@@ -338,6 +339,12 @@
         Ok(())
     }
 
+    /// The load asked over the load possible, where a report came along.
+    fn asked(&self, of: &Value) -> Outcome<Option<f64>> {
+        let usage = maybe(of, "usage", array)?;
+        Ok(self.asked_field.and_then(|at| usage?.get(at)?.as_f64()))
+    }
+
     fn with_call(
         &mut self,
         wall: f64,
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -652,6 +652,13 @@
         }
     }
 
+    /// A load report that came with an answer: what is asked of the leg's server over what it can do.
+    pub fn reported(&self, now: f64, leg: usize, asked: f64) {
+        if let Some(leg) = self.legs.borrow().get(leg) {
+            leg.server.report.set(Some((asked, leg.server.load.get(), now)));
+        }
+    }
+
     pub fn ended(self: &Rc<Self>, now: f64, leg: usize, ending: Ending, last: bool) {
         let Some(server) = self.unplace(leg) else { return };
         let balancer = &self.balancer;
