--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -200,6 +200,7 @@
         let balancer = Balancer::new(
             seed,
             door.clone(),
+            whole(told, "position")? as usize,
             whole(told, "siblings")? as usize,
             traffic,
             Shares::new(
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -135,6 +135,12 @@
         self.chance.borrow_mut().rand_float()
     }
 
+    /// Where this balancer rounds its part of a server up. The golden section spreads the balancers evenly for
+    /// each server, so that many small parts, rounded to whole connections, still add up to the server's share.
+    fn rounding(&self, server: u32) -> f64 {
+        (rank(0, server) + self.position * 0.618_033_988_749_895).fract()
+    }
+
     /// How long an outcome counts, and a lost trust lasts: a few of the longest waits a client accepts.
     fn memory(&self) -> f64 {
         4.0 * self.longest_guard
@@ -241,7 +247,7 @@
                         server.budget_at.set(now);
                     }
                 }
-                Err(at) => servers.insert(at, Server::new(now, listed)),
+                Err(at) => servers.insert(at, Server::new(now, listed, self.rounding(listed.id))),
             }
         }
         servers.retain(|s| s.state.get() != State::Gone || s.held.get() > 0);
@@ -278,7 +284,7 @@
                 weight: 0.0,
                 started: None,
             };
-            Server::new(now, &unnamed)
+            Server::new(now, &unnamed, self.rounding(unnamed.id))
         });
         call.place(now, server);
         call.legs.borrow_mut().iter_mut().for_each(Leg::answered);
@@ -358,7 +364,7 @@
             let price = (1.0 - factor) * per_weight * self.mean_weight.get();
             // Legs not yet answered weigh more: set-up is work of its own, and a server that answers none is slow.
             let waiting = WAITING * mean * f64::from(server.waiting.get());
-            let mut left = share.min(limit) - price - load - waiting;
+            let mut left = share.min(limit) - price - load - waiting + server.rounding * mean;
             if let Some((asked, own, at)) = server.report.get() {
                 // Where reports are had, R_i is also cut by what others hold: the share that the server's
                 // reported load makes of the mean, less what of it is our own. A report fades as it ages.
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) zone: usize,
     pub(crate) cell: u64,
     pub(crate) weight: Cell<f64>,
+    /// Where this balancer's part of the server is rounded up, from 0 to 1; the others' lie evenly between.
+    pub(crate) rounding: f64,
     pub(crate) state: Cell<State>,
     pub(crate) started: Cell<f64>,
     /// Sum of r·p over own standing connections and legs out, in grains.
@@ -98,12 +100,13 @@
 }
 
 impl Server {
-    pub(crate) fn new(now: f64, listed: &Listed) -> Rc<Server> {
+    pub(crate) fn new(now: f64, listed: &Listed, rounding: f64) -> Rc<Server> {
         Rc::new(Server {
             id: listed.id,
             zone: listed.zone,
             cell: listed.cell,
             weight: Cell::new(listed.weight),
+            rounding,
             state: Cell::new(listed.state),
             started: Cell::new(listed.started.unwrap_or(f64::NEG_INFINITY)),
             load: Cell::new(0),
@@ -163,6 +166,8 @@
     pub(crate) me: Weak<Balancer>,
     pub(crate) door: Rc<dyn Outward>,
     pub(crate) chance: RefCell<Rand64>,
+    /// This balancer's number among its siblings, from 0.
+    pub(crate) position: f64,
     pub(crate) siblings: f64,
     pub(crate) traffic: Vec<TrafficType>,
     pub(crate) shares: Shares,
@@ -219,6 +224,7 @@
     pub fn new(
         seed: u128,
         door: Rc<dyn Outward>,
+        position: usize,
         siblings: usize,
         traffic: Vec<TrafficType>,
         shares: Shares,
@@ -236,6 +242,7 @@
             me: me.clone(),
             door,
             chance: RefCell::new(Rand64::new(seed)),
+            position: position as f64,
             siblings: siblings.max(1) as f64,
             traffic,
             shares,
--- a/crates/dewhead/tests/common/mod.rs
+++ b/crates/dewhead/tests/common/mod.rs
@@ -141,6 +141,7 @@
         let balancer = Balancer::new(
             u128::from(seed),
             watcher.clone(),
+            seed as usize,
             4,
             traffic.clone(),
             Shares::new(shops, 0.1),
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -17,6 +17,10 @@
     Ending::NotSent,
 ];
 
+fn legs_of(most: u32) -> Legs {
+    Legs { most, two_at_once: false, may_withdraw: true, stay_away: None }
+}
+
 /// Any events in any order: the watcher checks rules 1 to 3 at every step, the loop that answers come in time.
 fn keeps_rules(seed: u64) -> bool {
     let mut dice = oorandom::Rand64::new(u128::from(seed));
@@ -230,7 +234,7 @@
 
 #[test]
 fn a_lost_list_is_asked_for_again_even_if_the_timer_is_early() {
-    let legs = Legs { most: 3, two_at_once: false, may_withdraw: true, stay_away: None };
+    let legs = legs_of(3);
     let stand = Stand::new(1, legs, 0.0, true, vec![traffic(Effect::Repeatable)]);
     assert_eq!(stand.watcher.asked.get(), 1, "asked at the start");
     for round in 2..12 {
@@ -246,7 +250,7 @@
 
 #[test]
 fn connections_come_home_while_there_is_room() {
-    let legs = Legs { most: 3, two_at_once: false, may_withdraw: true, stay_away: None };
+    let legs = legs_of(3);
     let mut stand = Stand::new(1, legs, 0.12, false, vec![traffic(Effect::Repeatable)]);
     stand.list(News::Whole, &[server(1, 1, 1.0), server(2, 2, 1.0)]);
     let ids: Vec<u64> = (0..10).map(|_| stand.standing(0.1).0).collect();
@@ -293,7 +297,7 @@
 
 #[test]
 fn nobody_is_called_home_while_calls_are_turned_away() {
-    let legs = Legs { most: 3, two_at_once: false, may_withdraw: true, stay_away: None };
+    let legs = legs_of(3);
     let mut stand = Stand::new(1, legs, 0.12, false, vec![traffic(Effect::Repeatable)]);
     stand.list(News::Whole, &[server(1, 1, 1.0)]);
     (0..10).for_each(|_| assert_eq!(stand.standing(0.1).1, 1));
@@ -310,3 +314,23 @@
     stand.balancer.woken(114.0);
     assert!(!stand.watcher.moved.borrow().is_empty());
 }
+
+#[test]
+fn small_parts_of_many_balancers_add_up_to_the_shares() {
+    // Grown narva's big-1: a balancer with fewer connections than servers has sent them all to the largest.
+    let fleet: Vec<Listed> = (0..16).map(|id| server(id, 0, if id < 8 { 1.0 } else { 3.0 })).collect();
+    let mut held = [0; 16];
+    for seed in 0..40 {
+        let mut stand = Stand::new(seed, legs_of(3), 0.0, false, vec![traffic(Effect::Repeatable)]);
+        stand.list(News::Whole, &fleet);
+        let mut last: Vec<(u64, u32)> = (0..8).map(|_| stand.standing(0.1)).collect();
+        for turn in 0..80 {
+            stand.end(last[turn % 8].0, 0, Ending::Served);
+            last[turn % 8] = stand.standing(0.1);
+        }
+        last.iter().for_each(|(_, at)| held[*at as usize] += 1);
+    }
+    let small: i32 = held[..8].iter().sum();
+    assert!((60..=110).contains(&small), "a quarter of 320 belongs on the small ones: {small}");
+    assert!(held.iter().all(|h| (4..=40).contains(h)), "10 or 30 each: {held:?}");
+}
