--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -378,7 +378,7 @@
             if let (Some(group), true) = (call.wanted.group, self.group_cost > 0.0) {
                 if !server.groups.borrow().contains_key(&group) {
                     // Each balancer ranks a group's servers alike, so that its parts meet on the same few.
-                    left -= self.group_cost * mean * (0.5 + 4.0 * rank(group, server.id));
+                    left -= self.group_cost * mean * (0.5 + 2.0 * rank(group, server.id));
                 }
             }
             let rested = now - server.judged_at.get().max(server.tried_at.get()) > self.longest_guard;
