A limit of less than one connection is rounded at each balancer's own place

Cause: every balancer could always put one connection on a server, however overdriven, and at full size one each is more than it carries.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -324,7 +324,7 @@
         let (memory, total) = (self.memory(), self.load.get() as f64);
         let per_weight = total / self.weights.get().max(f64::MIN_POSITIVE);
         let (mean, growth) = (self.mean_load() * GRAIN, self.memory());
-        let wanted = 0.5 * call.rate.get() * GRAIN;
+        let rate = call.rate.get() * GRAIN;
         // A shop beyond its share stops earlier, so that the others keep theirs when there is not enough.
         let room = ROOM * (0.5 + 0.5 * self.shares.worth(call.wanted.shop, self.siblings));
         let legs = call.legs.borrow();
@@ -357,7 +357,7 @@
             let limit = server.limit(now, growth);
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
-            if load + wanted > room * limit.max(mean) {
+            if load + (1.0 - server.rounding) * rate > room * limit {
                 continue;
             }
             // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
