--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -355,9 +355,6 @@
             }
             // A server just warmed holds little yet, and a crowd would all go there: it fills at its pace too.
             let filling = age < 3.0 * self.thaw.warm_after && load < 0.5 * share;
-            if (age < self.thaw.warm_after || filling) && !self.within_budget(now, server, age) {
-                continue;
-            }
             let limit = server.limit(now, growth);
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
@@ -379,7 +376,11 @@
             }
             // A new server carries a phantom load at the others' mean, fading over its warm-up.
             left -= share * (1.0 - age / self.thaw.warm_after).max(0.0);
+            // The costly terms, only for a server that may yet be the best.
             if best.as_ref().is_none_or(|(most, _)| left >= *most) {
+                if (age < self.thaw.warm_after || filling) && !self.within_budget(now, server, age) {
+                    continue;
+                }
                 left -= self.group_price(call, server, mean);
             }
             let rested = now - server.judged_at.get().max(server.tried_at.get()) > self.longest_guard;
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -86,6 +86,9 @@
     pub(crate) counted: Cell<u32>,
     pub(crate) judged_at: Cell<f64>,
     pub(crate) tried_at: Cell<f64>,
+    /// Budget of a cold server, in connections.
+    pub(crate) budget: Cell<f64>,
+    pub(crate) budget_at: Cell<f64>,
     /// The last report: load asked over what it can do, own load then, and when.
     pub(crate) report: Cell<Option<(f64, i64, f64)>>,
     /// Group -> own connections of it here; an entry goes with its last connection.
@@ -96,9 +99,6 @@
     pub(crate) carried: Cell<f64>,
     /// Own calls here, by the order they were placed in; an entry goes with its leg.
     pub(crate) calls: RefCell<BTreeMap<u64, Weak<Call>>>,
-    /// Budget of a cold server, in connections.
-    pub(crate) budget: Cell<f64>,
-    pub(crate) budget_at: Cell<f64>,
 }
 
 impl Server {
