--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -358,7 +358,7 @@
             let limit = server.limit(now, growth);
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
-            if load + (1.0 - server.rounding) * rate > room * limit {
+            if load + (1.0 - server.rounding) * rate > room * limit || now < server.full_until.get() {
                 continue;
             }
             // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
@@ -693,7 +693,11 @@
                 server.judge(now, false)
             }
             // Full is capacity, not sickness.
-            Ending::Full => balancer.overdriven(now, &server, 0.97),
+            Ending::Full => {
+                // Incident iadd0bb: a full queue answers at once, and each balancer's next calls were sent there too.
+                server.full_until.set(now + balancer.longest_guard * balancer.draw());
+                balancer.overdriven(now, &server, 0.97);
+            }
             Ending::Served | Ending::Cancelled | Ending::NotSent => {}
         }
         if ending == Ending::Cancelled && balancer.park > 0.0 {
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -78,6 +78,8 @@
     /// The most own load this server has shown it carries, in grains; it cuts R_i and closes the server to more.
     pub(crate) limit: Cell<f64>,
     pub(crate) cut_at: Cell<f64>,
+    /// Until when it is left alone as its queue was full.
+    pub(crate) full_until: Cell<f64>,
     /// Where this balancer's part of the server is rounded up, from 0 to 1; the others' lie evenly between.
     pub(crate) rounding: f64,
     pub(crate) held: Cell<u32>,
@@ -122,6 +124,7 @@
             cut_at: Cell::new(now),
             carried: Cell::new(0.0),
             calls: RefCell::new(BTreeMap::new()),
+            full_until: Cell::new(f64::NEG_INFINITY),
             budget: Cell::new(0.0),
             budget_at: Cell::new(now),
             groups: RefCell::new(BTreeMap::new()),
