Cuts follow the work piled up at a server and its growth between two notes

The growth of the delay is what is asked beyond what the server can do, and the same for every balancer however few connections it holds.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -19,6 +19,8 @@
 const FEW: u32 = 8;
 /// A server is overdriven once a message takes this part of the shortest message target.
 const SLOW: f64 = 0.5;
+/// Work piled up at a server is to be gone in this part of the longest guard time.
+const DRAIN: f64 = 1.0;
 /// A timer may come this much early, as clocks are rounded on their way; taken for none, the next ask was lost.
 const EARLY: f64 = 1e-3;
 /// A leg not yet answered counts as this many mean connections more.
@@ -665,9 +667,17 @@
             Some(leg) => leg.server.clone(),
             None => return,
         };
-        let slow = delay / self.balancer.shortest_message;
-        if slow > SLOW / 1.5 {
-            self.balancer.overdriven(now, &server, (SLOW / slow).clamp(0.8, 1.0));
+        let balancer = &self.balancer;
+        // What a message takes is work piled up: it grows by what is asked beyond what the server can do. Told
+        // for the first time, it was under the telling a second ago.
+        let (before, at) = server.delay.replace((delay, now));
+        let slope = match now - at {
+            gap if gap > 0.0 && gap < 2.5 => (delay - before) / gap,
+            _ => delay,
+        };
+        if delay / balancer.shortest_message > SLOW / 1.5 {
+            let drain = 1.0 - delay / (DRAIN * balancer.longest_guard);
+            balancer.overdriven(now, &server, (drain / (1.0 + slope).max(0.1)).clamp(0.5, 1.0));
         }
     }
 
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) cell: u64,
     /// The most own load since the last cut, less what the server dropped.
     pub(crate) carried: Cell<f64>,
+    /// How long a message took there when last told, and when that was.
+    pub(crate) delay: Cell<(f64, f64)>,
     /// Own calls here, by the order they were placed in; an entry goes with its leg.
     pub(crate) calls: RefCell<BTreeMap<u64, Weak<Call>>>,
 }
@@ -125,6 +127,7 @@
             carried: Cell::new(0.0),
             calls: RefCell::new(BTreeMap::new()),
             full_until: Cell::new(f64::NEG_INFINITY),
+            delay: Cell::new((0.0, f64::NEG_INFINITY)),
             budget: Cell::new(0.0),
             budget_at: Cell::new(now),
             groups: RefCell::new(BTreeMap::new()),
