--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -677,7 +677,7 @@
         };
         if delay / balancer.shortest_message > SLOW / 1.5 {
             let drain = 1.0 - delay / (DRAIN * balancer.longest_guard);
-            balancer.overdriven(now, &server, (drain / (1.0 + slope).max(0.1)).clamp(0.5, 1.0));
+            balancer.overdriven(now, &server, (drain / (1.0 + slope).max(0.1)).clamp(0.3, 1.0));
         }
     }
 
