Connections come home only where Eq. 1 would place them at home

Cause: with few own connections a home server always seems to have room, and connections went home to be placed abroad again.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -187,8 +187,12 @@
         }
         abroad.retain(|c| c.stage.get() == Stage::Standing && now - c.taken_at > self.longest_guard);
         abroad.sort_by(|a, b| a.rate.get().total_cmp(&b.rate.get()));
+        drop(servers);
+        let home = |c: &Call| self.pick(now, c).is_some_and(|s| s.zone == self.place.home);
         for call in abroad.iter().take((self.held.get() as usize).div_ceil(100)) {
-            self.door.relocate(call.id);
+            if home(call) {
+                self.door.relocate(call.id);
+            }
         }
     }
 
