Servers that nothing is known of are closed as often as the known ones of their location

Cause: at full size a balancer holds nothing on most servers, so that each had to fill an overdriven one again to learn of it.

--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -209,6 +209,7 @@
             ),
             Watch::new(ask, maybe(rules, "mustAskIn", seconds)?.unwrap_or(10.0)),
             Place::new(home, number(prices, "crossZone")?, number(prices, "moves")?),
+            zones.len(),
             thaw,
             legs,
             Probes::new(truth(limits, "probes")? && asked_field.is_some()),
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -5,7 +5,7 @@
 //! it what happens. `take` gives a handle to the call, and all that happens to the call later is a method of that
 //! handle. Every method takes the clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`.
 
-use crate::state::{Balancer, Call, Leg, Place, Server, Shares, Stage, Thaw, Watch};
+use crate::state::{Balancer, Call, Leg, Location, Place, Server, Shares, Stage, Thaw, Watch};
 use crate::terms::{Effect, Ending, Group, Listed, News, State, TrafficType, Wanted};
 use oorandom::Rand64;
 use std::cell::{Cell, RefCell};
@@ -56,6 +56,18 @@
     }
 }
 
+impl Location {
+    fn tally(&self, weight: f64, closed: bool) {
+        let (all, shut) = self.known.get();
+        self.known.set((all + weight, shut + if closed { weight } else { 0.0 }));
+    }
+
+    fn settle(&self) {
+        let (all, shut) = self.known.replace((0.0, 0.0));
+        self.closed.set(if all > 0.0 { shut / all } else { 0.0 });
+    }
+}
+
 impl Shares {
     fn count(&self, shop: Option<usize>, change: i32) {
         if let Some(held) = shop.and_then(|s| self.held.get(s)) {
@@ -364,7 +376,18 @@
             let limit = server.limit(now, growth);
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
-            if load + (1.0 - server.rounding) * rate > room * limit || now < server.full_until.get() {
+            // A server that nothing is known of is as likely to be overdriven as those of its location that are known:
+            // at full size each balancer else fills servers that the others have closed.
+            let location = &self.locations[server.zone.min(self.locations.len() - 1)];
+            let closed =
+                load + (1.0 - server.rounding) * rate > room * limit || now < server.full_until.get();
+            if load > 0.0 || limit.is_finite() {
+                location.tally(
+                    weight,
+                    load + (1.0 - server.rounding) * mean > ROOM * limit || now < server.full_until.get(),
+                );
+            }
+            if closed || (load == 0.0 && limit.is_infinite() && server.rounding < location.closed.get()) {
                 continue;
             }
             // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
@@ -412,6 +435,7 @@
                 _ => (best, ties) = (Some((left, server)), 1.0),
             }
         }
+        self.locations.iter().for_each(Location::settle);
         // With no server at home, the others share what there is.
         self.weights.set(if weights > 0.0 { weights } else { ready });
         self.mean_weight.set(ready / count.max(1.0));
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -24,6 +24,15 @@
     pub(crate) homecoming: bool,
 }
 
+/// What is known of the servers of one location, by weight.
+#[derive(Default)]
+pub struct Location {
+    /// Known so far in this pass: all of them, and those closed.
+    pub(crate) known: Cell<(f64, f64)>,
+    /// The closed part at the last pick.
+    pub(crate) closed: Cell<f64>,
+}
+
 /// Asking servers for their load, where that is allowed and told.
 pub struct Probes {
     pub allowed: bool,
@@ -181,6 +190,7 @@
     pub(crate) shares: Shares,
     pub(crate) watch: Watch,
     pub(crate) place: Place,
+    pub(crate) locations: Vec<Location>,
     pub(crate) thaw: Thaw,
     pub(crate) legs: Legs,
     pub(crate) probes: Probes,
@@ -238,6 +248,7 @@
         shares: Shares,
         watch: Watch,
         place: Place,
+        locations: usize,
         thaw: Thaw,
         legs: Legs,
         probes: Probes,
@@ -256,6 +267,7 @@
             shares,
             watch,
             place,
+            locations: (0..locations.max(1)).map(|_| Location::default()).collect(),
             thaw,
             legs,
             probes,
--- a/crates/dewhead/tests/common/mod.rs
+++ b/crates/dewhead/tests/common/mod.rs
@@ -147,6 +147,7 @@
             Shares::new(shops, 0.1),
             Watch::new(ask, 10.0),
             Place::new(0, price, 0.01),
+            3,
             thaw,
             legs,
             Probes::new(ask),
