--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -124,9 +124,9 @@
 
     /// Overdriven: what it holds now, less a part, is the most it carries. Far under what it carried since the
     /// last cut, a crowd's set-up is the likelier cause, and a limit made of so little would turn the crowd away.
-    fn cut(&self, now: f64, part: f64, growth: f64) {
+    fn cut(&self, now: f64, part: f64, growth: f64, mean: f64) {
         let (load, carried) = (self.load.get() as f64, self.carried.get());
-        let most = if load < 0.7 * carried { 0.9 * carried } else { load * part };
+        let most = if load + 2.0 * mean < 0.7 * carried { 0.9 * carried } else { load * part };
         self.limit.set(self.limit(now, growth).min(most));
         self.carried.set(self.limit.get());
         self.cut_at.set(now);
@@ -488,7 +488,7 @@
         if now - server.cut_at.get() < SETTLE * self.longest_guard && server.limit.get().is_finite() {
             return;
         }
-        server.cut(now, part, self.memory());
+        server.cut(now, part, self.memory(), self.mean_load() * GRAIN);
         let calls = server.calls.borrow();
         let mut standing: Vec<Rc<Call>> =
             calls.values().filter_map(Weak::upgrade).filter(|c| c.stage.get() == Stage::Standing).collect();
