--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -1,7 +1,7 @@
 //! The instances of one process: what the wire says becomes calls on their balancers.
 
 use crate::door::{Door, Output};
-use dewhead::state::{Balancer, Call, Legs, Place, Probes, Shares, Thaw, Watch};
+use dewhead::state::{Balancer, Call, Legs, Place, Shares, Thaw, Watch};
 use dewhead::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
 use serde_json::Value;
 use std::collections::{HashMap, VecDeque};
@@ -212,7 +212,6 @@
             zones.len(),
             thaw,
             legs,
-            Probes::new(truth(limits, "probes")? && asked_field.is_some()),
             if maybe(nature, "groups", truth)?.unwrap_or(false) { 1.0 } else { 0.0 },
             maybe(nature, "park", seconds)?.unwrap_or(0.0),
         );
@@ -331,11 +330,8 @@
                 }
                 None => {}
             },
-            "PROBE_RESULT" => {
-                let asked = self.asked(of)?;
-                self.balancer.probed(now, server_id(of)?, ending(text(of, "result")?)?, asked);
-            }
-            "FROM_PEER" => {}
+            // Nothing is probed and nothing told to peers.
+            "PROBE_RESULT" | "FROM_PEER" => {}
             other => return Err(format!("unknown event '{other}'")),
         }
         Ok(())
--- a/crates/dewhead/src/outward.rs
+++ b/crates/dewhead/src/outward.rs
@@ -17,8 +17,6 @@
     fn wake(&self, at: f64);
     /// Follow the list of servers from now on.
     fn follow_list(&self);
-    /// Ask a server for its load report.
-    fn probe(&self, server: u32);
     /// A line for the operators.
     fn remark(&self, text: &str);
 }
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -1,6 +1,6 @@
 //! All decisions of the balancer.
 //!
-//! How to call it: build the parts of `state.rs` (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`, `Probes`) from the few
+//! How to call it: build the parts of `state.rs` (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`) from the few
 //! settings each takes, hand them to `Balancer::new` with a seed and the door (`outward.rs`), call `begin`, then tell
 //! it what happens. `take` gives a handle to the call, and all that happens to the call later is a method of that
 //! handle. Every method takes the clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`.
@@ -143,10 +143,6 @@
             self.home_at.set(now);
             self.door.wake(now);
         }
-        if self.probes.allowed && false {
-            self.probe_at.set(now);
-            self.door.wake(now);
-        }
     }
 
     fn draw(&self) -> f64 {
@@ -169,9 +165,6 @@
             self.ask_at.set(f64::INFINITY);
             self.door.follow_list();
         }
-        if now + EARLY >= self.probe_at.get() {
-            self.probe_next(now);
-        }
         if now + EARLY >= self.home_at.get() {
             self.call_home(now);
         }
@@ -207,34 +200,6 @@
         }
     }
 
-    /// Asks the servers in turn, each once in half the longest guard time.
-    fn probe_next(&self, now: f64) {
-        let servers = self.servers.borrow();
-        let turn = self.probes.turn.get() % servers.len().max(1);
-        self.probes.turn.set(turn + 1);
-        if let Some(server) = servers.get(turn).filter(|s| s.state.get() == State::Ready) {
-            self.door.probe(server.id);
-        }
-        let at = now + 0.5 * self.longest_guard / servers.len().max(1) as f64;
-        self.probe_at.set(at);
-        self.door.wake(at);
-    }
-
-    /// A probe's answer: how it ended, and the load asked of the server over what it can do, where told.
-    pub fn probed(&self, now: f64, server: u32, ending: Ending, asked: Option<f64>) {
-        let servers = self.servers.borrow();
-        let Ok(at) = servers.binary_search_by_key(&server, |s| s.id) else { return };
-        let server = &servers[at];
-        match (ending, asked) {
-            (Ending::Served, Some(asked)) => {
-                server.report.set(Some((asked, server.load.get(), now)));
-                self.reports.set(true);
-            }
-            (Ending::Unreachable | Ending::TimedOut, _) => server.judge(now, false),
-            _ => {}
-        }
-    }
-
     pub fn list(&self, now: f64, news: News, entries: &[Listed]) {
         if news == News::Failed {
             if self.watch.must_ask && self.ask_at.get().is_infinite() {
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -33,19 +33,6 @@
     pub(crate) closed: Cell<f64>,
 }
 
-/// Asking servers for their load, where that is allowed and told.
-pub struct Probes {
-    pub allowed: bool,
-    /// Which server is asked next.
-    pub(crate) turn: Cell<usize>,
-}
-
-impl Probes {
-    pub fn new(allowed: bool) -> Probes {
-        Probes { allowed, turn: Cell::new(0) }
-    }
-}
-
 /// Fairness by shop share: what a shop holds beyond its share gives way first.
 pub struct Shares {
     pub(crate) shops: Vec<Shop>,
@@ -193,7 +180,6 @@
     pub(crate) locations: Vec<Location>,
     pub(crate) thaw: Thaw,
     pub(crate) legs: Legs,
-    pub(crate) probes: Probes,
     pub(crate) group_cost: f64,
     /// Sorted by id; a server leaves when it is gone and holds nothing of ours.
     pub(crate) servers: RefCell<Vec<Rc<Server>>>,
@@ -206,7 +192,6 @@
     pub(crate) reports: Cell<bool>,
     /// The mean of the reported loads, by weight, at the last pick.
     pub(crate) reported: Cell<f64>,
-    pub(crate) probe_at: Cell<f64>,
     pub(crate) home_at: Cell<f64>,
     /// When a call was last turned away.
     pub(crate) refused_at: Cell<f64>,
@@ -250,7 +235,6 @@
         locations: usize,
         thaw: Thaw,
         legs: Legs,
-        probes: Probes,
         group_cost: f64,
         park: f64,
     ) -> Rc<Balancer> {
@@ -269,7 +253,6 @@
             locations: (0..locations.max(1)).map(|_| Location::default()).collect(),
             thaw,
             legs,
-            probes,
             group_cost,
             servers: RefCell::new(Vec::new()),
             load: Cell::new(0),
@@ -278,7 +261,6 @@
             picked_at: Cell::new(0.0),
             reports: Cell::new(false),
             reported: Cell::new(1.0),
-            probe_at: Cell::new(f64::INFINITY),
             home_at: Cell::new(f64::INFINITY),
             refused_at: Cell::new(f64::NEG_INFINITY),
             placed: Cell::new(0),
--- a/crates/dewhead/tests/common/mod.rs
+++ b/crates/dewhead/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A door that keeps book of what a balancer does and fails the moment a rule is broken.
 
 use dewhead::outward::Outward;
-use dewhead::state::{Balancer, Call, Legs, Place, Probes, Shares, Thaw, Watch};
+use dewhead::state::{Balancer, Call, Legs, Place, Shares, Thaw, Watch};
 use dewhead::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -39,7 +39,6 @@
     pub moved: RefCell<Vec<u64>>,
     pub wakes: RefCell<Vec<(f64, Option<u64>)>>,
     pub asked: Cell<u32>,
-    pub probed: RefCell<Vec<u32>>,
 }
 
 impl Outward for Watcher {
@@ -105,10 +104,6 @@
         self.asked.set(self.asked.get() + 1);
     }
 
-    fn probe(&self, server: u32) {
-        self.probed.borrow_mut().push(server);
-    }
-
     fn remark(&self, _: &str) {}
 }
 
@@ -150,7 +145,6 @@
             3,
             thaw,
             legs,
-            Probes::new(ask),
             1.0,
             0.0,
         );
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -101,13 +101,6 @@
             }
             (11, _) => {
                 stand.list(News::Failed, &[]);
-                let asked = [Ending::Served, Ending::Unreachable][dice.rand_range(0..2) as usize];
-                stand.balancer.probed(
-                    now,
-                    dice.rand_range(0..9) as u32,
-                    asked,
-                    Some(dice.rand_float() * 2.0),
-                );
             }
             _ => {}
         }
