--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -327,3 +327,95 @@
     assert!((60..=110).contains(&small), "a quarter of 320 belongs on the small ones: {small}");
     assert!(held.iter().all(|h| (4..=40).contains(h)), "10 or 30 each: {held:?}");
 }
+
+#[test]
+fn a_limit_below_one_connection_lets_in_a_part_of_the_balancers() {
+    // Grown narva's overload: one connection from every balancer was always let in, and that was too much.
+    let mut open = 0;
+    for seed in 0..40 {
+        let mut stand = Stand::new(seed, legs_of(3), 0.0, false, vec![traffic(Effect::Repeatable)]);
+        stand.list(News::Whole, &[server(1, 0, 1.0)]);
+        let (light, _) = stand.standing(0.03);
+        stand.calls[&light].messages_take(100.0, 0, 0.2);
+        stand.end(light, 0, Ending::Served);
+        let next = stand.take(0, Some(0.03), None);
+        open += u32::from(stand.at(next).is_some());
+    }
+    assert!((16..=32).contains(&open), "0.77 of a connection each, less the margin: {open} of 40");
+}
+
+#[test]
+fn work_that_drains_already_is_not_cut_for() {
+    // Incident iadd0bb: servers were cut on and on while what had piled up was on its way out.
+    let mut stand = Stand::plain();
+    stand.list(News::Whole, &[server(1, 0, 1.0), server(2, 0, 1.0)]);
+    let all: Vec<(u64, u32)> = (0..40).map(|_| stand.standing(0.1)).collect();
+    let slow = all.iter().find(|(_, at)| *at == 1).unwrap().0;
+    stand.calls[&slow].messages_take(100.0, 0, 0.2);
+    let moved = stand.watcher.moved.borrow().clone();
+    let first = moved.len();
+    assert!(first > 0, "it grew by 0.2 of a second in a second");
+    moved.iter().for_each(|id| stand.end(*id, 0, Ending::Cancelled));
+    let slow = all.iter().find(|(id, at)| *at == 1 && !moved.contains(id)).unwrap().0;
+    stand.watcher.now.set(101.0);
+    stand.calls[&slow].messages_take(101.0, 0, 0.1);
+    assert_eq!(stand.watcher.moved.borrow().len(), first, "a tenth goes each second");
+    stand.watcher.now.set(102.0);
+    stand.calls[&slow].messages_take(102.0, 0, 0.8);
+    assert!(stand.watcher.moved.borrow().len() > first, "it grows again");
+}
+
+#[test]
+fn a_full_server_is_left_alone_for_a_while() {
+    // Incident iadd0bb: servers with full queues answered at once and were sent every next call.
+    let mut stand = Stand::plain();
+    stand.list(News::Whole, &[server(1, 0, 1.0), server(2, 0, 1.0)]);
+    (0..40).for_each(|_| _ = stand.standing(0.1));
+    let refused = stand.take(0, Some(0.1), None);
+    let full = stand.at(refused).unwrap();
+    stand.end(refused, 0, Ending::Full);
+    stand.watcher.now.set(100.001);
+    assert!((0..4).all(|_| stand.standing(0.1).1 != full));
+    stand.watcher.now.set(120.0);
+    let again = (0..30).any(|_| {
+        let id = stand.take(0, Some(0.1), None);
+        stand.at(id) == Some(full)
+    });
+    assert!(again, "it needs a way back");
+}
+
+#[test]
+fn unknown_servers_are_judged_by_their_location() {
+    // Grown tallinn's big-1: what every known server of a location had closed went on to the unknown ones there.
+    let (mut spilled, mut elsewhere) = (0, 0);
+    for seed in 0..10 {
+        let mut stand = Stand::new(seed, legs_of(3), 0.0, false, vec![traffic(Effect::Repeatable)]);
+        let fleet: Vec<Listed> = (0..4).map(|id| server(id, 0, 1.0)).collect();
+        stand.list(News::Whole, &fleet);
+        let all: Vec<u64> = (0..40).map(|_| stand.standing(0.1).0).collect();
+        all.iter().for_each(|id| stand.calls[id].messages_take(100.0, 0, 3.0));
+        stand.take(0, Some(0.1), None);
+        let unknown: Vec<Listed> = (4..8).map(|id| server(id, if id < 6 { 0 } else { 1 }, 1.0)).collect();
+        stand.list(News::Changes, &unknown);
+        for _ in 0..4 {
+            let id = stand.take(0, Some(0.1), None);
+            spilled += u32::from(matches!(stand.at(id), Some(4 | 5)));
+            elsewhere += u32::from(matches!(stand.at(id), Some(6 | 7)));
+        }
+    }
+    assert_eq!(spilled, 0, "all that is known there is closed");
+    assert_eq!(elsewhere, 40, "nothing is known against the other location");
+}
+
+#[test]
+fn one_connection_that_ends_is_no_crowd_that_left() {
+    // Incident ie6fc5f: with one or two connections a server, limits stayed far over what servers carry.
+    let mut stand = Stand::plain();
+    stand.list(News::Whole, &[server(1, 0, 1.0)]);
+    let (gone, _) = stand.standing(0.1);
+    let (stays, _) = stand.standing(0.1);
+    stand.end(gone, 0, Ending::Served);
+    stand.calls[&stays].messages_take(100.0, 0, 1.0);
+    let next = stand.take(0, Some(0.1), None);
+    assert_eq!(stand.at(next), None, "the limit is made of the one that stands");
+}
