--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -346,7 +346,8 @@
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so.
             // A server that nothing is known of is as likely to be overdriven as those of its location that are known:
-            // at full size each balancer else fills servers that the others have closed.
+            // at full size each balancer else fills servers that the others have closed. Not so one that has just
+            // started, which nobody has filled yet (incident ic788f7).
             let location = &self.locations[(server.zone as usize).min(self.locations.len() - 1)];
             let closed =
                 load + (1.0 - server.rounding) * rate > room * limit || now < server.full_until.get();
@@ -356,7 +357,8 @@
                     load + (1.0 - server.rounding) * mean > ROOM * limit || now < server.full_until.get(),
                 );
             }
-            if closed || (load == 0.0 && limit.is_infinite() && server.rounding < location.closed.get()) {
+            let unknown = load == 0.0 && limit.is_infinite() && age >= 3.0 * self.thaw.warm_after;
+            if closed || (unknown && server.rounding < location.closed.get()) {
                 continue;
             }
             // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -387,7 +387,7 @@
 #[test]
 fn unknown_servers_are_judged_by_their_location() {
     // Grown tallinn's big-1: what every known server of a location had closed went on to the unknown ones there.
-    let (mut spilled, mut elsewhere) = (0, 0);
+    let (mut spilled, mut elsewhere, mut fresh) = (0, 0, 0);
     for seed in 0..10 {
         let mut stand = Stand::new(seed, legs_of(3), 0.0, false, vec![traffic(Effect::Repeatable)]);
         let fleet: Vec<Listed> = (0..4).map(|id| server(id, 0, 1.0)).collect();
@@ -402,8 +402,16 @@
             spilled += u32::from(matches!(stand.at(id), Some(4 | 5)));
             elsewhere += u32::from(matches!(stand.at(id), Some(6 | 7)));
         }
+        // Incident ic788f7: new servers stood idle beside overdriven ones.
+        stand.list(News::Changes, &[Listed { started: Some(100.0), ..server(8, 0, 9.0) }]);
+        stand.watcher.now.set(104.0);
+        fresh += u32::from((0..8).any(|_| {
+            let id = stand.take(0, Some(0.1), None);
+            stand.at(id) == Some(8)
+        }));
     }
     assert_eq!(spilled, 0, "all that is known there is closed");
+    assert_eq!(fresh, 10, "one that has just started is not judged by the others");
     assert_eq!(elsewhere, 40, "nothing is known against the other location");
 }
 
