--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -18,7 +18,7 @@
 /// A server is judged by its last few outcomes: this many.
 const FEW: u32 = 8;
 /// A server is overdriven once a message takes this part of the shortest message target.
-const SLOW: f64 = 0.5;
+const SLOW: f64 = 1.0 / 3.0;
 /// Work piled up at a server is to be gone in this part of the longest guard time.
 const DRAIN: f64 = 1.0;
 /// A timer may come this much early, as clocks are rounded on their way; taken for none, the next ask was lost.
@@ -27,10 +27,16 @@
 const WAITING: f64 = 2.0;
 /// Rule 4's budget is spent to this part.
 const MARGIN: f64 = 0.5;
-/// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
 /// A server takes new connections up to this part of its limit; the rest is for what changes of itself.
 const ROOM: f64 = 0.85;
+/// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
 const SETTLE: f64 = 0.3;
+/// A cut leaves at least this part of the load, as a first delay told may be a chance one.
+const LEAST: f64 = 0.3;
+/// The golden section: its multiples spread evenly between 0 and 1, however many there are.
+const GOLDEN: f64 = 0.618_033_988_749_895;
+/// How many mean loads apart the first and the last of a group's servers are ranked.
+const RANKED: f64 = 2.0;
 
 impl Watch {
     /// The pause after a failed call: doubling, spread out, and never so long that a list ages past its use.
@@ -152,7 +158,7 @@
     /// Where this balancer rounds its part of a server up. The golden section spreads the balancers evenly for
     /// each server, so that many small parts, rounded to whole connections, still add up to the server's share.
     fn rounding(&self, server: u32) -> f64 {
-        (rank(0, server) + self.position * 0.618_033_988_749_895).fract()
+        (rank(0, server) + self.position * GOLDEN).fract()
     }
 
     /// How long an outcome counts, and a lost trust lasts: a few of the longest waits a client accepts.
@@ -424,7 +430,7 @@
     fn group_price(&self, call: &Call, server: &Server, mean: f64) -> f64 {
         match call.wanted.group {
             Some(group) if self.group_cost > 0.0 && !server.groups.borrow().contains_key(&group) => {
-                self.group_cost * mean * (0.5 + 2.0 * rank(group, server.id))
+                self.group_cost * mean * (0.5 + RANKED * rank(group, server.id))
             }
             _ => 0.0,
         }
@@ -671,9 +677,9 @@
             gap if gap > 0.0 && gap < 2.5 => (delay - before) / gap,
             _ => delay,
         };
-        if delay / balancer.shortest_message > SLOW / 1.5 {
+        if delay / balancer.shortest_message > SLOW {
             let drain = 1.0 - delay / (DRAIN * balancer.longest_guard);
-            balancer.overdriven(now, &server, (drain / (1.0 + slope).max(0.1)).clamp(0.3, 1.0));
+            balancer.overdriven(now, &server, (drain / (1.0 + slope).max(0.1)).clamp(LEAST, 1.0));
         }
     }
 
