SIGHUP reads the configuration again and moves the watch to the new discovery

Ruled out: a fault of the servers or of the front, as the exit status names the signal. At fault: lifecycle/mod.rs registered SIGTERM and SIGINT alone, and turn.rs kept the discovery address for good.

Now both signals are heard before anything that takes time. At SIGHUP the file is read by the same code as at the start; a faulty one is one log line that names the key and changes nothing. The reducer holds the address and asks the new one at once for the whole list, since versions need not continue; a lower version is then no longer taken for an outdated one. Descriptors change too; listen, name, seed and settings are named as waiting for a restart.

--- a/crates/dewhead-proxy/src/lifecycle/command.rs
+++ b/crates/dewhead-proxy/src/lifecycle/command.rs
@@ -48,7 +48,7 @@
 
 pub fn carry_out(line: &Line) -> Result<(), String> {
     match &line.command {
-        Command::Serve(serve) => super::serve(Configuration::load(serve.config.as_deref())?),
+        Command::Serve(serve) => super::serve(serve.config.clone()),
         Command::Check(check) => {
             let read = Configuration::load(check.config.as_deref())?;
             println!("{} would serve on {}", read.name, read.listen);
--- a/crates/dewhead-proxy/src/lifecycle/configuration.rs
+++ b/crates/dewhead-proxy/src/lifecycle/configuration.rs
@@ -24,6 +24,31 @@
     /// The list of servers as it was last had.
     pub remembered: Value,
     pub startup: Startup,
+    pub fixed: Fixed,
+}
+
+/// What can't change while the proxy runs: standing connections and the balancer hang on it. `known` counts at a start
+/// alone, too, but the list held then is newer than any that a file has.
+pub struct Fixed(Vec<(String, Value)>);
+
+impl Fixed {
+    fn of(told: &Value) -> Fixed {
+        let one = |name: &str| (name.to_owned(), told[name].clone());
+        let parts = told["settings"].as_object().into_iter().flatten();
+        let parts = parts.map(|(name, part)| (format!("settings.{name}"), part.clone()));
+        Fixed(["name", "listen", "seed"].map(one).into_iter().chain(parts).collect())
+    }
+
+    /// The keys that another has otherwise, or not at all, or alone.
+    pub fn differing<'a>(&'a self, other: &'a Fixed) -> Vec<&'a str> {
+        let lacks = |(a, b): (&'a Fixed, &Fixed)| {
+            a.0.iter().filter(|one| !b.0.contains(one)).map(|(key, _)| key.as_str()).collect::<Vec<_>>()
+        };
+        let mut keys = [lacks((self, other)), lacks((other, self))].concat();
+        keys.sort_unstable();
+        keys.dedup();
+        keys
+    }
 }
 
 impl Configuration {
@@ -75,6 +100,7 @@
             descriptors: descriptors as usize,
             remembered,
             startup,
+            fixed: Fixed::of(told),
         })
     }
 }
--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -5,8 +5,12 @@
 
 use crate::reducer::Reducer;
 use crate::turn::{Clock, Turn};
-use configuration::Configuration;
-use log::info;
+use configuration::{Configuration, Fixed};
+use log::{error, info, warn};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
 
 /// Runs the program; what it returns is the exit code.
 pub fn run() -> i32 {
@@ -20,21 +24,45 @@
     }
 }
 
-fn serve(configuration: Configuration) -> Result<(), String> {
+/// A socket on which a byte comes for each of these signals.
+fn heard(signals: &[i32]) -> Result<UnixStream, String> {
+    let fault = |e| format!("signals: {e}");
+    let (hears, tells) = UnixStream::pair().map_err(fault)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, tells.try_clone().map_err(fault)?).map_err(fault)?;
+    }
+    Ok(hears)
+}
+
+fn serve(path: Option<PathBuf>) -> Result<(), String> {
+    // Before anything that takes time: a signal that nobody hears ends the process.
+    let (stops, renewals) = (heard(&[SIGTERM, SIGINT])?, heard(&[SIGHUP])?);
+    let read = Configuration::load(path.as_deref())?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
-    let (signals, teller) = std::os::unix::net::UnixStream::pair().map_err(|e| format!("signals: {e}"))?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        let teller = teller.try_clone().map_err(|e| format!("signals: {e}"))?;
-        signal_hook::low_level::pipe::register(signal, teller).map_err(|e| format!("signals: {e}"))?;
-    }
-    drop(teller);
-    let Configuration { name, listen, discovery, seed, descriptors, remembered, startup } = configuration;
+    let Configuration { name, listen, discovery, seed, descriptors, remembered, startup, fixed } = read;
     let clock = Clock::start();
-    let reducer = Reducer::new(clock.now(), startup, seed, descriptors, &remembered);
-    let mut turn =
-        Turn::new(clock, reducer, listen, discovery, signals).map_err(|e| format!("{listen}: {e}"))?;
+    let reducer = Reducer::new(clock.now(), startup, seed, discovery, descriptors, &remembered);
+    let renewed = Box::new(move || renew(path.as_deref(), &fixed));
+    let mut turn = Turn::new(clock, reducer, listen, stops, (renewals, renewed))
+        .map_err(|e| format!("{listen}: {e}"))?;
     info!("{name} serves on {listen}, with {descriptors} descriptors at most");
     turn.run().map_err(|e| format!("the loop: {e}"))
 }
+
+/// Reads the configuration again; a faulty one changes nothing.
+fn renew(path: Option<&Path>, running: &Fixed) -> Option<(SocketAddr, usize)> {
+    let read = Configuration::load(path)
+        .map_err(|fault| error!("the new configuration is left aside, as it is faulty: {fault}"))
+        .ok()?;
+    let kept = running.differing(&read.fixed);
+    if !kept.is_empty() {
+        warn!("the new configuration: {} can change at a restart only, and stays", kept.join(", "));
+    }
+    info!(
+        "the new configuration holds: discovery {}, {} descriptors at most",
+        read.discovery, read.descriptors
+    );
+    Some((read.discovery, read.descriptors))
+}
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -52,6 +52,8 @@
     Tick,
     /// To stop, politely.
     Stop,
+    /// A new configuration holds: where discovery is now, and the most descriptors.
+    Renewed(SocketAddr, usize),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -79,8 +81,8 @@
     Finish(End),
     Close(End, How),
     Accepting(bool),
-    /// Ask discovery for the changes since this version.
-    Follow(u64),
+    /// Ask discovery, which is at this address, for the changes since this version.
+    Follow(SocketAddr, u64),
     Unfollow,
     Exit,
 }
@@ -155,6 +157,7 @@
         now: f64,
         startup: Startup,
         seed: u128,
+        discovery: SocketAddr,
         most_descriptors: usize,
         remembered: &Value,
     ) -> Reducer {
@@ -182,7 +185,7 @@
             servers: Servers::default(),
             timers: Timers::default(),
             serial: 0,
-            watch: Watch::default(),
+            watch: Watch::of(discovery),
             stopping: None,
             descriptors: Descriptors { used: FIXED, most: most_descriptors, accepting: true },
             chance: Rand64::new(seed ^ 1),
@@ -257,6 +260,11 @@
                 }
             }
             Event::Stop => self.stop(now),
+            Event::Renewed(discovery, most) => {
+                self.descriptors.most = most;
+                self.weigh();
+                self.follow_elsewhere(now, discovery);
+            }
         }
         self.settle(now);
         if self.stopping.is_some_and(|at| now >= at + STILL_COMING) && self.sessions.is_empty() {
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -8,6 +8,7 @@
 use dewhead::terms::{Ending, News};
 use log::warn;
 use serde_json::Value;
+use std::net::SocketAddr;
 
 /// Discovery writes every two seconds at least; this long without a word and the watch is dead. What it has to tell
 /// counts as told after six, so that two tries must fit in there.
@@ -17,8 +18,8 @@
 /// Pauses before discovery is asked again, where the balancer does not set them: the first and the longest.
 const WATCH_PAUSE: (f64, f64) = (0.1, 0.8);
 
-#[derive(Default)]
 pub struct Watch {
+    pub discovery: SocketAddr,
     pub answer: Option<Answer>,
     /// The version held.
     pub version: u64,
@@ -28,14 +29,29 @@
     pub timer: Option<Timer>,
 }
 
+impl Watch {
+    pub fn of(discovery: SocketAddr) -> Watch {
+        Watch { discovery, answer: None, version: 0, failures: 0, pausing: false, timer: None }
+    }
+}
+
 impl Reducer {
     pub(super) fn follow(&mut self, now: f64) {
         if self.watch.answer.is_none() {
-            self.effects.push(Effect::Follow(self.watch.version));
+            self.watch.pausing = false;
+            self.effects.push(Effect::Follow(self.watch.discovery, self.watch.version));
             self.watch_within(now + WATCH_OPENS);
         }
     }
 
+    /// Asks there for the whole list, at once. The versions held mean nothing there: a discovery that counts lower
+    /// would else be taken for an outdated one, and its list never be taken up. Till it comes the list held stays.
+    pub(super) fn follow_elsewhere(&mut self, now: f64, discovery: SocketAddr) {
+        let timer = self.watch.timer.take();
+        self.watch = Watch { timer, ..Watch::of(discovery) };
+        self.follow(now);
+    }
+
     /// The next word must have come by then.
     fn watch_within(&mut self, at: f64) {
         let fresh = self.timers.set(at, Due::Watch);
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -15,6 +15,7 @@
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
 const WATCH: Token = Token(2);
+const RENEWALS: Token = Token(3);
 /// Tokens of ends begin here.
 const FIRST: usize = 4;
 /// As much is read at a time, and as much may wait for one socket at the most, but for a word of our own.
@@ -41,13 +42,19 @@
     }
 }
 
+/// What of a configuration that was read again changes while the proxy runs: `Event::Renewed` has the same.
+pub type Renewed = Box<dyn FnMut() -> Option<(SocketAddr, usize)>>;
+
 pub struct Turn {
     poll: Poll,
     clock: Clock,
     reducer: Reducer,
     listener: TcpListener,
+    /// A byte comes here for each signal to stop, and there for each to read the configuration again.
     signals: UnixStream,
-    discovery: SocketAddr,
+    renewals: UnixStream,
+    /// Reads it; none if it is faulty and nothing changes.
+    renewed: Renewed,
     watch: Option<Link>,
     /// Sockets by slot; one leaves with `Effect::Close`.
     clients: Vec<Option<Link>>,
@@ -78,27 +85,37 @@
     Some(if at % 2 == 0 { End::Client(at / 2) } else { End::Server(at / 2) })
 }
 
+fn empty(told: &mut UnixStream) {
+    let mut some = [0; 16];
+    while matches!(told.read(&mut some), Ok(n) if n > 0) {}
+}
+
 impl Turn {
     pub fn new(
         clock: Clock,
         reducer: Reducer,
         listen: SocketAddr,
-        discovery: SocketAddr,
         signals: std::os::unix::net::UnixStream,
+        (renewals, renewed): (std::os::unix::net::UnixStream, Renewed),
     ) -> io::Result<Turn> {
         let poll = Poll::new()?;
         let mut listener = TcpListener::bind(listen)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
-        signals.set_nonblocking(true)?;
-        let mut signals = UnixStream::from_std(signals);
-        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+        let heard = |told: std::os::unix::net::UnixStream, token| {
+            told.set_nonblocking(true)?;
+            let mut told = UnixStream::from_std(told);
+            poll.registry().register(&mut told, token, Interest::READABLE)?;
+            io::Result::Ok(told)
+        };
+        let (signals, renewals) = (heard(signals, SIGNALS)?, heard(renewals, RENEWALS)?);
         Ok(Turn {
             poll,
             clock,
             reducer,
             listener,
             signals,
-            discovery,
+            renewals,
+            renewed,
             watch: None,
             clients: Vec::new(),
             servers: Vec::new(),
@@ -141,7 +158,17 @@
             for event in events.iter() {
                 match event.token() {
                     LISTENER => self.accept_from = Some(now),
-                    SIGNALS => self.signalled(now),
+                    SIGNALS => {
+                        empty(&mut self.signals);
+                        self.tell(now, Event::Stop, &[]);
+                    }
+                    RENEWALS => {
+                        // Signals that came close together are one.
+                        empty(&mut self.renewals);
+                        if let Some((discovery, most)) = (self.renewed)() {
+                            self.tell(now, Event::Renewed(discovery, most), &[]);
+                        }
+                    }
                     WATCH => {}
                     other => {
                         if let Some(end) = end_of(other) {
@@ -168,12 +195,6 @@
         Ok(())
     }
 
-    fn signalled(&mut self, now: f64) {
-        let mut some = [0; 16];
-        while matches!(self.signals.read(&mut some), Ok(n) if n > 0) {}
-        self.tell(now, Event::Stop, &[]);
-    }
-
     fn link(&mut self, end: End) -> Option<&mut Link> {
         match end {
             End::Client(slot) => self.clients.get_mut(slot)?.as_mut(),
@@ -331,12 +352,12 @@
         self.tell(now, Event::WatchLost, &[]);
     }
 
-    fn follow(&mut self, now: f64, since: u64) {
+    fn follow(&mut self, now: f64, discovery: SocketAddr, since: u64) {
         self.watch = None;
-        let opened = TcpStream::connect(self.discovery).and_then(|mut socket| {
+        let opened = TcpStream::connect(discovery).and_then(|mut socket| {
             self.poll.registry().register(&mut socket, WATCH, Interest::READABLE | Interest::WRITABLE)?;
             let mut link = Link::new(socket, true);
-            link.write(&[&http::follow(&self.discovery.to_string(), since)])?;
+            link.write(&[&http::follow(&discovery.to_string(), since)])?;
             Ok(link)
         });
         match opened {
@@ -381,7 +402,7 @@
                     }
                 }
                 Effect::Accepting(on) => self.accepting = on,
-                Effect::Follow(since) => self.follow(now, since),
+                Effect::Follow(discovery, since) => self.follow(now, discovery, since),
                 Effect::Unfollow => self.watch = None,
                 Effect::Exit => {
                     if !std::mem::replace(&mut self.exit, true) {
--- a/crates/dewhead-proxy/tests/common/mod.rs
+++ b/crates/dewhead-proxy/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use dewhead_startup::Startup;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 pub const ZONES: [&str; 2] = ["east", "west"];
 
@@ -38,6 +39,11 @@
     json!({"seq": seq, "whole": whole, "hosts": hosts})
 }
 
+/// Where the n-th discovery is.
+pub fn discovery(n: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 8500 + n))
+}
+
 #[derive(Default)]
 pub struct Client {
     pub got: Vec<u8>,
@@ -64,7 +70,8 @@
     pub dialled: Vec<usize>,
     pub accepting: bool,
     pub exit: bool,
-    pub follows: Vec<u64>,
+    /// Where discovery was asked so far, and for the changes since which version.
+    pub follows: Vec<(SocketAddr, u64)>,
     /// Whether the watch is open, so that what is told on it arrives.
     pub watching: bool,
     admitted: Option<usize>,
@@ -74,7 +81,7 @@
     pub fn new(descriptors: usize, known: Value) -> Stand {
         let startup = Startup::read(&settings()).expect("the settings are sound");
         let mut stand = Stand {
-            reducer: Reducer::new(1000.0, startup, 7, descriptors, &known),
+            reducer: Reducer::new(1000.0, startup, 7, discovery(1), descriptors, &known),
             now: 1000.0,
             clients: BTreeMap::new(),
             servers: BTreeMap::new(),
@@ -162,7 +169,7 @@
                     drop(self.servers.remove(&slot).expect("a leg that is out"))
                 }
                 Effect::Accepting(on) => self.accepting = on,
-                Effect::Follow(since) => self.follows.push(since),
+                Effect::Follow(at, since) => self.follows.push((at, since)),
                 Effect::Unfollow => self.watching = false,
                 Effect::Exit => self.exit = true,
             }
--- a/crates/dewhead-proxy/tests/configuration.rs
+++ b/crates/dewhead-proxy/tests/configuration.rs
@@ -43,3 +43,15 @@
     told.as_object_mut().unwrap().remove("limits");
     assert_eq!(read(&told), 1024);
 }
+
+#[test]
+fn what_needs_a_restart_is_named() {
+    let mut told = sound();
+    let (before, new) = (Configuration::read(&told).unwrap().fixed, json!("127.0.0.1:8501"));
+    (told["discovery"], told["known"], told["limits"]["sockets"]) = (new.clone(), Value::Null, json!(900));
+    assert!(before.differing(&Configuration::read(&told).unwrap().fixed).is_empty());
+    (told["listen"], told["settings"]["deductions"]["moves"]) = (new, json!(0.5));
+    told["settings"]["tenants"] = Value::Null;
+    let after = Configuration::read(&told).unwrap().fixed;
+    assert_eq!(before.differing(&after), ["listen", "settings.deductions", "settings.tenants"]);
+}
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{host, list, Stand};
+use common::{discovery, host, list, Stand};
 use dewhead_proxy::reducer::{End, Event, How};
 use quickcheck::{Gen, QuickCheck};
 use std::collections::BTreeMap;
@@ -311,7 +311,7 @@
         assert_eq!(stand.dialled, [9000], "{bad}");
         stand.later(4.0);
         stand.later(4.0);
-        assert!(stand.follows.len() > 1 && stand.follows.iter().all(|since| *since == 1), "{bad}");
+        assert!(stand.follows.len() > 1 && stand.follows.iter().all(|f| *f == (discovery(1), 1)), "{bad}");
     }
 }
 
@@ -327,6 +327,39 @@
     assert!(stand.follows.len() > before + 1, "and again, as nobody answers");
 }
 
+/// A reload ended the process, and its successor would have gone on asking the old address for versions that the new
+/// discovery does not count.
+#[test]
+fn a_new_discovery_is_followed_at_once_whatever_it_counts() {
+    for opened in [false, true] {
+        let mut stand = Stand::new(256, list(40, true, (0..3).map(|n| host(n, "ready")).collect()));
+        let (client, leg) = stand.standing();
+        let held = stand.servers[&leg].to;
+        if opened {
+            stand.watch(&list(41, false, vec![]).to_string());
+        } else {
+            stand.tell(Event::WatchLost);
+        }
+        stand.tell(Event::Renewed(discovery(2), 200));
+        assert_eq!(stand.follows.last(), Some(&(discovery(2), 0)));
+        stand.call("feed");
+        assert_eq!(stand.dialled.len(), 2, "the list held serves till the new one comes");
+        let others: Vec<usize> = (0..3).filter(|n| 9000 + n != held).collect();
+        stand.watch(&list(3, true, vec![host(held - 9000, "ready"), host(others[0], "ready")]).to_string());
+        for _ in 0..12 {
+            stand.call("feed");
+            assert_ne!(stand.dialled.last(), Some(&(9000 + others[1])), "what it does not name is gone");
+        }
+        assert_eq!(stand.got(client), "UP 1\r\n", "what stands stays");
+        (0..30).for_each(|_| stand.later(0.1));
+        assert_eq!(
+            stand.follows.last(),
+            Some(&(discovery(2), 3)),
+            "silent, it is asked again where it is now"
+        );
+    }
+}
+
 #[test]
 fn a_stop_sends_everybody_away_politely_and_ends() {
     let mut stand = Stand::ready(2);
--- a/crates/dewhead-proxy/tests/sockets.rs
+++ b/crates/dewhead-proxy/tests/sockets.rs
@@ -11,6 +11,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
+use std::process::{Command, Stdio};
 use std::thread;
 
 fn listener() -> TcpListener {
@@ -69,8 +70,9 @@
     let proxy = thread::spawn(move || {
         let clock = Clock::start();
         let startup = Startup::read(&settings()).unwrap();
-        let reducer = Reducer::new(clock.now(), startup, 3, 256, &Value::Null);
-        Turn::new(clock, reducer, at, told_at, theirs).unwrap().run().unwrap();
+        let reducer = Reducer::new(clock.now(), startup, 3, told_at, 256, &Value::Null);
+        let (_, never) = UnixStream::pair().unwrap();
+        Turn::new(clock, reducer, at, theirs, (never, Box::new(|| None))).unwrap().run().unwrap();
     });
     // It answers once it listens and has its list.
     loop {
@@ -103,3 +105,42 @@
     drop((client, lines));
     proxy.join().unwrap();
 }
+
+/// SIGHUP used to end the program. Here it is the program itself, told three times: once while its file is faulty.
+#[test]
+fn a_new_configuration_is_read_at_sighup_and_a_faulty_one_is_not_taken() {
+    let (old, new, own) = (listener(), listener(), listener());
+    let at = own.local_addr().unwrap();
+    drop(own);
+    let path = std::env::temp_dir().join(format!("dewhead-{}.json", std::process::id()));
+    let write = |discovery: Value| {
+        let told = json!({"name": "n1", "listen": at.to_string(), "discovery": discovery, "seed": "1",
+                          "settings": settings()});
+        std::fs::write(&path, told.to_string()).unwrap();
+    };
+    write(json!(old.local_addr().unwrap().to_string()));
+    let mut proxy = Command::new(env!("CARGO_BIN_EXE_dewhead"))
+        .args(["serve", "--config", path.to_str().unwrap()])
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(proxy.stderr.take().unwrap());
+    let tell = |signal: &str| {
+        assert!(Command::new("kill").args([signal, &proxy.id().to_string()]).status().unwrap().success());
+    };
+    let (first, _) = old.accept().unwrap();
+    write(json!("nowhere"));
+    tell("-HUP");
+    while !line(&mut log).contains("field 'discovery' is not") {}
+    write(json!(new.local_addr().unwrap().to_string()));
+    tell("-HUP");
+    let (second, _) = new.accept().unwrap();
+    assert_eq!(line(&mut BufReader::new(second)), "GET /v1/servers?follow=1&since=0 HTTP/1.1\r\n");
+    BufReader::new(first).read_to_end(&mut Vec::new()).expect("the old watch was ended");
+    let mut unheard = TcpStream::connect(at).unwrap();
+    unheard.write_all(b"x\r\n").unwrap();
+    assert_eq!(line(&mut BufReader::new(unheard)), "ERR\r\n", "it goes on serving");
+    tell("-TERM");
+    assert_eq!(proxy.wait().unwrap().code(), Some(0));
+    std::fs::remove_file(path).unwrap();
+}
