Bad clients are checked field by field and bounded in time, words and descriptors

Ruled out: memory (0 MB of 48) and CPU (0.04 s in the worst second). At fault: accepted, greet and session_due in reducer.rs, opening in wire/head.rs.

A first line is due in 2.5 s whatever comes meanwhile, half a line is answered ERR, four PINGs are answered a connection, ids of open requests are kept, each known field is checked and may come once. Those who only hold a descriptor (silent, or answered and not gone) give it up, oldest first, once fewer than an eighth are left. At most 32 are accepted a turn, and who stands nowhere is read 8 KiB a turn. reducer.rs is split by job: clients, legs, standing, stopping.

--- a/crates/dewhead-proxy/src/memory/sessions.rs
+++ b/crates/dewhead-proxy/src/memory/sessions.rs
@@ -25,6 +25,12 @@
     /// Tells this holder of the slot from earlier ones.
     pub id: u64,
     pub stage: Stage,
+    /// The id that its client gave it, while its request is open.
+    pub named: Option<u64>,
+    /// Its place among those that only wait for their client.
+    pub loiters: Option<u64>,
+    /// Lines of its client that asked for nothing but a sign of life.
+    pub pings: u32,
     /// The first line; given back once the call stands.
     pub head: Vec<u8>,
     /// Where in it the client's waiting time stands.
--- /dev/null
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -0,0 +1,196 @@
+//! Legs: dialled, asked, answered, ended.
+
+use super::{Due, Effect, End, How, Reducer, SETUPS, TO_REFUSE};
+use crate::memory::sessions::{LegStage, Out, Stage};
+use crate::wire::answers::{self, word, Word};
+use crate::wire::lines::first;
+use dewhead::terms::Ending;
+
+impl Reducer {
+    pub(super) fn send(&mut self, now: f64, key: usize, server: u32, limit: f64) {
+        let session = &mut self.sessions[key];
+        let number = session.sent;
+        session.sent += 1;
+        if !self.dial_as(now, key, server, now + limit, number) {
+            self.tell_ended(now, key, number, Ending::NotSent, false);
+        }
+    }
+
+    /// Puts a connection back to the server that held it.
+    pub(super) fn dial(&mut self, now: f64, key: usize, server: u32, until: f64) {
+        if !self.dial_as(now, key, server, until, 0) {
+            self.again(now, key);
+        }
+    }
+
+    pub(super) fn dial_as(&mut self, now: f64, key: usize, server: u32, until: f64, number: usize) -> bool {
+        let to = self.servers.0.get(&server).and_then(|s| s.dial);
+        let Some(to) = to.filter(|_| self.descriptors.used + TO_REFUSE < self.descriptors.most) else {
+            return false;
+        };
+        let entry = self.legs.vacant_entry();
+        let leg = entry.key();
+        let timer = self.timers.set((now + self.connect_limit).min(until), Due::Leg(leg));
+        entry.insert(Out {
+            session: key,
+            number,
+            server,
+            stage: LegStage::Connecting,
+            answer: Vec::new(),
+            until,
+            asked_at: now,
+            timer: Some(timer),
+            farewell: None,
+        });
+        self.sessions[key].legs.push((number, leg));
+        self.descriptors.used += 1;
+        self.effects.push(Effect::Dial(leg, to));
+        true
+    }
+
+    /// A connection that could not be put back is tried again, until its client has waited long enough.
+    pub(super) fn again(&mut self, now: f64, key: usize) {
+        let until = self.sessions[key].returning.as_ref().map_or(now, |(_, wanted)| wanted.until);
+        if now < until {
+            self.replace_timer(key, Some((now + 0.1).min(until)));
+        } else {
+            self.answer(now, key, answers::FAILED.to_vec());
+        }
+    }
+
+    pub(super) fn connected(&mut self, now: f64, leg: usize) {
+        let Some(out) = self.legs.get(leg).filter(|l| l.stage == LegStage::Connecting) else { return };
+        let wait = self.sessions[out.session].wait.clone();
+        let figure = ((out.until - now) * 1000.0).max(1.0) as u64;
+        self.effects.push(Effect::Head { leg, session: out.session, wait, figure });
+    }
+
+    pub(super) fn server_said(&mut self, now: f64, leg: usize, bytes: &[u8]) {
+        let Some(out) = self.legs.get_mut(leg) else { return };
+        let key = out.session;
+        match out.stage {
+            LegStage::Connecting | LegStage::Asked => {
+                out.answer.extend_from_slice(bytes);
+                let end = match first(&out.answer) {
+                    Ok(Some(end)) => end,
+                    Ok(None) => return,
+                    Err(_) => return self.leg_failed(now, leg, Ending::Error),
+                };
+                match word(crate::wire::lines::trimmed(&out.answer[..end])) {
+                    Word::Up => self.up(now, leg),
+                    Word::Busy => self.leg_failed(now, leg, Ending::Full),
+                    Word::Move => self.leg_failed(now, leg, Ending::Cancelled),
+                    _ => self.leg_failed(now, leg, Ending::Error),
+                }
+            }
+            LegStage::Standing => self.pass_down(now, leg, bytes),
+            LegStage::Parting => self.effects.push(Effect::Pass(End::Client(key), 0..bytes.len())),
+        }
+    }
+
+    /// The server has taken the connection: what it said goes to the client, and all that follows.
+    pub(super) fn up(&mut self, now: f64, leg: usize) {
+        let out = &mut self.legs[leg];
+        let (key, number, server, asked_at) = (out.session, out.number, out.server, out.asked_at);
+        let said = std::mem::take(&mut out.answer);
+        out.stage = LegStage::Standing;
+        if let Some(timer) = out.timer.take() {
+            self.timers.cancel(timer);
+        }
+        let session = &mut self.sessions[key];
+        session.stage = Stage::Standing;
+        session.head = Vec::new();
+        if let Some((_, wanted)) = session.returning.take() {
+            let call = self.balancer.adopt(now, session.id, wanted, server);
+            session.call = Some(call);
+        } else if let Some(call) = &session.call {
+            call.established(now, number);
+        }
+        // Others that were out at the same time are called off.
+        let (traffic, fresh) = (session.traffic, session.sent > 0);
+        let others: Vec<usize> = session.legs.iter().map(|(_, l)| *l).filter(|l| *l != leg).collect();
+        for other in others {
+            self.end_leg(now, other, Ending::Cancelled, false, How::Broken);
+        }
+        self.replace_timer(key, None);
+        self.replace_wake(key, None);
+        if let Some(at) = self.stopping {
+            let leave = self.leave_at(at).max(now);
+            let wake = self.timers.set(leave, Due::Leave(key));
+            self.replace_wake(key, Some(wake));
+        }
+        if let Some(address) = self.servers.0.get_mut(&server).filter(|_| fresh) {
+            let slower =
+                address.pace.set_up(&mut self.kinds, traffic, now - asked_at, now, 4.0 * self.longest_guard);
+            self.messages_take(now, leg, SETUPS, slower * self.slow_unit);
+        }
+        self.watch_lines(now, leg, &said);
+        self.effects.push(Effect::Text(End::Client(key), said));
+    }
+
+    pub(super) fn server_closed(&mut self, now: f64, leg: usize, how: How) {
+        let Some(out) = self.legs.get(leg) else { return };
+        let (key, farewell) = (out.session, out.farewell);
+        match out.stage {
+            LegStage::Connecting => self.leg_failed(now, leg, Ending::Unreachable),
+            LegStage::Asked => self.leg_failed(now, leg, Ending::Broken),
+            LegStage::Parting => self.close_all(now, key, How::Closed),
+            LegStage::Standing => {
+                if farewell.is_none() && self.sessions[key].down.between() {
+                    // Lost without a word: its client comes again sooner when told to than when cut off.
+                    return self.move_away(now, key, Ending::Broken);
+                }
+                let ending = farewell.unwrap_or(Ending::Broken);
+                self.end_leg(now, leg, ending, true, how);
+                self.part(now, key);
+                match how {
+                    How::Closed => self.effects.push(Effect::Finish(End::Client(key))),
+                    How::Broken => self.close_all(now, key, How::Broken),
+                }
+            }
+        }
+    }
+
+    /// A leg that brought no connection.
+    pub(super) fn leg_failed(&mut self, now: f64, leg: usize, ending: Ending) {
+        let Some(out) = self.legs.get(leg) else { return };
+        let key = out.session;
+        let returning = self.sessions[key].stage == Stage::Returning;
+        self.end_leg(now, leg, ending, false, How::Broken);
+        if returning {
+            self.again(now, key);
+        }
+    }
+
+    pub(super) fn tell_ended(&mut self, now: f64, key: usize, number: usize, ending: Ending, last: bool) {
+        if let Some(call) = self.sessions[key].call.clone() {
+            call.ended(now, number, ending, last);
+        }
+    }
+
+    pub(super) fn tell_leg_ended(&mut self, now: f64, leg: usize, ending: Ending, last: bool) {
+        let (key, number) = (self.legs[leg].session, self.legs[leg].number);
+        if self.legs[leg].stage != LegStage::Parting {
+            self.tell_ended(now, key, number, ending, last);
+        }
+    }
+
+    /// The one place where a leg is given back, with its timer, its buffer and its socket.
+    pub(super) fn end_leg(&mut self, now: f64, leg: usize, ending: Ending, last: bool, how: How) {
+        self.tell_leg_ended(now, leg, ending, last);
+        let out = self.legs.remove(leg);
+        if let Some(timer) = out.timer {
+            self.timers.cancel(timer);
+        }
+        self.sessions[out.session].legs.retain(|(_, l)| *l != leg);
+        self.effects.push(Effect::Close(End::Server(leg), how));
+        self.descriptors.used -= 1;
+        self.weigh(now);
+    }
+
+    pub(super) fn end_legs(&mut self, now: f64, key: usize, how: How) {
+        while let Some((_, leg)) = self.sessions[key].legs.first().copied() {
+            self.end_leg(now, leg, Ending::Cancelled, true, how);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewhead-proxy/src/reducer/standing.rs
@@ -0,0 +1,117 @@
+//! Standing connections: lines pass and are read along, and clients are sent away politely.
+
+use super::{Effect, End, How, Reducer, LINES, LINE_ENDS, SETUPS};
+use crate::memory::sessions::Stage;
+use crate::wire::answers::{self, word, Word};
+use dewhead::terms::Ending;
+
+impl Reducer {
+    pub(super) fn pass_down(&mut self, now: f64, leg: usize, bytes: &[u8]) {
+        let key = self.legs[leg].session;
+        let mut bytes = bytes;
+        if self.sessions[key].moving.is_some() {
+            // The line under way still goes through.
+            let end = bytes.iter().position(|b| *b == b'\n').map_or(bytes.len(), |at| at + 1);
+            bytes = &bytes[..end];
+        }
+        self.watch_lines(now, leg, bytes);
+        self.effects.push(Effect::Pass(End::Client(key), 0..bytes.len()));
+        let session = &self.sessions[key];
+        if let Some(ending) = session.moving.filter(|_| session.down.between()) {
+            self.move_away(now, key, ending);
+        }
+    }
+
+    /// Reads along as a standing connection's lines pass.
+    pub(super) fn watch_lines(&mut self, now: f64, leg: usize, bytes: &[u8]) {
+        let out = &mut self.legs[leg];
+        let session = &mut self.sessions[out.session];
+        let Some(call) = session.call.clone() else { return };
+        let mut slowest = None;
+        let (asked, unanswered, asked_at) = (&mut session.asked, &mut session.unanswered, session.asked_at);
+        session.down.feed(bytes, |line, _| match word(line) {
+            Word::Load(load) => call.load_is(now, out.number, load),
+            Word::Bye => out.farewell = Some(Ending::Served),
+            Word::Move => out.farewell = Some(Ending::Cancelled),
+            _ => {
+                if let Some(since) = unanswered.take() {
+                    slowest = Some(now - since);
+                    *asked = asked.saturating_sub(1);
+                    if *asked > 0 {
+                        *unanswered = Some(asked_at);
+                    }
+                }
+            }
+        });
+        if let Some(took) = slowest {
+            self.messages_take(now, leg, LINES, took);
+        }
+    }
+
+    /// Told once a second while messages are slow by one sign or another, and once more when they no longer are.
+    pub(super) fn messages_take(&mut self, now: f64, leg: usize, sign: usize, took: f64) {
+        let out = &self.legs[leg];
+        let Some(server) = self.servers.0.get_mut(&out.server) else { return };
+        server.delays[sign] = took;
+        let took = f64::max(server.delays[LINES], server.delays[SETUPS]);
+        let slow = took > self.slow_from;
+        if (slow || server.slow) && now - server.told_at >= 1.0 {
+            server.told_at = now;
+            server.slow = slow;
+            if let Some(call) = &self.sessions[out.session].call {
+                call.messages_take(now, out.number, took);
+            }
+        }
+    }
+
+    /// Sends a standing client away politely, as soon as it is between two lines.
+    pub(super) fn move_away(&mut self, now: f64, key: usize, ending: Ending) {
+        let session = &mut self.sessions[key];
+        let Some((_, leg)) = session.legs.first().copied().filter(|_| session.stage == Stage::Standing)
+        else {
+            return;
+        };
+        if !session.down.between() {
+            if session.moving.replace(ending).is_none() {
+                self.replace_timer(key, Some(now + LINE_ENDS));
+            }
+            return;
+        }
+        self.end_leg(now, leg, ending, true, How::Closed);
+        self.answer(now, key, answers::MOVE.to_vec());
+    }
+
+    pub(super) fn session_due(&mut self, now: f64, key: usize) {
+        let session = &self.sessions[key];
+        match session.stage {
+            Stage::Greeting if !session.head.is_empty() => self.answer(now, key, answers::FAILED.to_vec()),
+            Stage::Greeting => self.close_all(now, key, How::Closed),
+            Stage::Parting => self.close_all(now, key, How::Broken),
+            Stage::Waiting => {}
+            Stage::Returning => {
+                if let Some((server, wanted)) = &session.returning {
+                    let (server, until) = (*server, wanted.until);
+                    if now < until {
+                        self.dial(now, key, server, until);
+                    } else {
+                        self.answer(now, key, answers::FAILED.to_vec());
+                    }
+                }
+            }
+            Stage::Standing => match (session.moving, session.unanswered) {
+                (Some(ending), _) => {
+                    // Its server stopped within a line, so there is no place for a word.
+                    if let Some(leg) = session.bound() {
+                        self.end_leg(now, leg, ending, true, How::Broken);
+                    }
+                    self.answer(now, key, Vec::new());
+                }
+                (None, Some(since)) if now - since >= self.silent_after - 1e-3 => {
+                    self.move_away(now, key, Ending::Broken);
+                }
+                (None, Some(since)) => self.replace_timer(key, Some(since + self.silent_after)),
+                (None, None) => {}
+            },
+        }
+    }
+}
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -22,6 +22,8 @@
 const READ: usize = 8192;
 /// One socket is read so often before the others have their turn.
 const READS: usize = 8;
+/// So many clients are accepted before those who are in have their turn.
+const ACCEPTS: usize = 32;
 /// Where accepting fails, it is tried again after this.
 const ACCEPT_PAUSE: f64 = 0.05;
 
@@ -204,7 +206,10 @@
 
     fn accept(&mut self, now: f64) {
         self.accept_from = None;
-        while self.accepting {
+        for _ in 0..ACCEPTS {
+            if !self.accepting {
+                break;
+            }
             match self.listener.accept() {
                 Ok((socket, _)) => {
                     self.accept_failed = false;
@@ -223,7 +228,7 @@
                 }
             }
         }
-        // There are no descriptors left; those who wait are looked for once there are.
+        // More may wait: for the next turn, or where no descriptors are left for when there are.
         self.accept_from = Some(now);
     }
 
@@ -283,7 +288,9 @@
 
     fn read(&mut self, now: f64, end: End) {
         let mut scratch = std::mem::take(&mut self.scratch);
-        for _ in 0..READS {
+        // One that stands nowhere has little to say; one that says more waits for the others after each piece.
+        let reads = if self.reducer.other(end).is_some() { READS } else { 1 };
+        for _ in 0..reads {
             let other = self.reducer.other(end);
             let full = other.is_some_and(|o| self.link(o).is_some_and(|l| !l.is_clear()));
             let Some(link) = self.link(end).filter(|l| !l.ended && !l.connecting) else {
--- a/crates/dewhead-proxy/src/wire/head.rs
+++ b/crates/dewhead-proxy/src/wire/head.rs
@@ -4,11 +4,16 @@
 use dewhead_startup::Known;
 use std::ops::Range;
 
+/// The names that we know.
+const NAMES: [&str; 8] = ["c", "t", "d", "g", "h", "r", "again", "at"];
+
 /// What a connection begins with. Places are places in its line, which is kept and written out again.
 #[derive(Debug)]
 pub enum Opening {
     Ping,
     Open {
+        /// The client's name for its request.
+        id: u64,
         wanted: Wanted,
         /// Where the client's waiting time stands.
         wait: Range<usize>,
@@ -17,7 +22,8 @@
     },
 }
 
-/// Reads the line in place. `now` is when it came; `longest` is how long a client waits that does not say.
+/// Reads the line in place. `now` is when it came; `longest` is how long a client waits that does not say. Each name
+/// that we know is checked, and may come once; others pass, as clients may send further figures.
 pub fn opening(
     line: &[u8],
     now: f64,
@@ -25,7 +31,12 @@
     known: &Known,
     groups: bool,
 ) -> Result<Opening, &'static str> {
-    let text = std::str::from_utf8(super::lines::trimmed(line)).map_err(|_| "not text")?;
+    // It goes on as it came: what a server would not take for one line of text must not get that far.
+    let text = line.strip_suffix(b"\r\n").ok_or("it does not end with CRLF")?;
+    let text = std::str::from_utf8(text).map_err(|_| "not text")?;
+    if text.contains(char::is_control) {
+        return Err("control characters");
+    }
     if text == "PING" {
         return Ok(Opening::Ping);
     }
@@ -33,13 +44,10 @@
     if parts.next() != Some("OPEN") {
         return Err("neither OPEN nor PING");
     }
-    let id = parts.next().unwrap_or("");
-    if id.len() != 16 || hex(id).is_none() {
-        return Err("the id is not 16 hex digits");
-    }
-    let key = parts.next().ok_or("no key")?;
+    let id = parts.next().filter(|id| id.len() == 16).and_then(hex).ok_or("the id is not 16 hex digits")?;
+    let key = parts.next().and_then(hex).ok_or("the key is not hex digits")?;
     let list = parts.next().ok_or("no list of names and values")?;
-    if key.is_empty() || parts.next().is_some() {
+    if parts.next().is_some() {
         return Err("not four words");
     }
     let mut wanted = Wanted {
@@ -48,33 +56,45 @@
         until: now + longest,
         hint: None,
         group: None,
-        key: hex(key),
+        key: Some(key),
         midflow: false,
     };
-    let (mut wait, mut held_at) = (0..0, None);
+    let (mut wait, mut held_at, mut seen) = (0..0, None, [false; NAMES.len()]);
     // The list is the line's last word.
     let mut at = text.len() - list.len();
     for pair in list.split(',') {
         let (name, value) = pair.split_once('=').ok_or("a name without a value")?;
         let place = at + name.len() + 1..at + pair.len();
         at = place.end + 1;
+        if let Some(seen) = NAMES.iter().position(|n| *n == name).map(|n| &mut seen[n]) {
+            if std::mem::replace(seen, true) {
+                return Err("a name that comes twice");
+            }
+        }
         match name {
             "c" => wanted.traffic = place_of(value, &known.traffic).ok_or("an unknown traffic type")?,
             "t" => wanted.shop = Some(place_of(value, &known.shops).ok_or("an unknown shop")?),
             "d" => {
-                wanted.until = now + figure(value).ok_or("a waiting time that is no number")? / 1000.0;
+                let within = figure(value).filter(|ms| *ms > 0.0 && *ms <= f64::from(u32::MAX));
+                wanted.until = now + within.ok_or("a waiting time that is no number")? / 1000.0;
                 wait = place;
             }
-            "g" if groups => wanted.group = hex(value),
+            "g" => {
+                let group = hex(value).ok_or("a group that is not hex digits")?;
+                wanted.group = Some(group).filter(|_| groups);
+            }
             // Microseconds of work a second, as LOAD has it.
-            "h" => wanted.hint = figure(value).map(|h| h / 1e6),
+            "h" => wanted.hint = Some(figure(value).ok_or("a load that is no number")? / 1e6),
+            "r" | "again" if !["0", "1"].contains(&value) => return Err("a mark that is neither 0 nor 1"),
+            "at" if value.is_empty() => return Err("no server named"),
             "at" => held_at = Some(place),
             _ => {}
         }
     }
     match wanted.traffic {
         usize::MAX => Err("no traffic type"),
-        _ => Ok(Opening::Open { wanted, wait, held_at }),
+        _ if wait.is_empty() => Err("no waiting time"),
+        _ => Ok(Opening::Open { id, wanted, wait, held_at }),
     }
 }
 
@@ -91,6 +111,8 @@
     }
 }
 
+/// Digits, with a fraction perhaps; what else a number may look like, clients do not send.
 fn figure(digits: &str) -> Option<f64> {
-    digits.parse::<f64>().ok().filter(|f| f.is_finite() && *f >= 0.0)
+    let plain = digits.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    digits.parse::<f64>().ok().filter(|f| plain && f.is_finite())
 }
--- a/crates/dewhead-proxy/tests/common/mod.rs
+++ b/crates/dewhead-proxy/tests/common/mod.rs
@@ -75,6 +75,8 @@
     /// Whether the watch is open, so that what is told on it arrives.
     pub watching: bool,
     admitted: Option<usize>,
+    /// Calls made so far; each has an id of its own.
+    calls: u64,
 }
 
 impl Stand {
@@ -92,6 +94,7 @@
             follows: Vec::new(),
             watching: false,
             admitted: None,
+            calls: 0x9b1f_03aa_5c7e_2d40,
         };
         stand.apply(&[]);
         stand
@@ -193,8 +196,10 @@
     }
 
     pub fn call(&mut self, kind: &str) -> usize {
+        self.calls += 1;
         self.open(&format!(
-            "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c={kind},t=shop-a,d=1500,g=5c0f6e1a2b3d4c59,x=1\r\n"
+            "OPEN {:016x} 7f3a9c21e0b4d655 c={kind},t=shop-a,d=1500,g=5c0f6e1a2b3d4c59,x=1\r\n",
+            self.calls
         ))
     }
 
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -261,9 +261,77 @@
     let client = stand.call("feed");
     stand.client_says(client, "M early\r\n");
     assert_eq!(stand.got(client), "ERR\r\n", "bytes before UP");
-    let silent = stand.connect();
-    stand.later(10.0);
-    assert!(!stand.clients.contains_key(&silent), "who says nothing holds its socket for a bounded time");
+}
+
+/// On the rude days such connections were owed an end within three seconds, and had it after the longest guard time.
+#[test]
+fn who_begins_nothing_is_ended_within_three_seconds_whatever_it_says_meanwhile() {
+    let mut stand = Stand::ready(1);
+    let (silent, half, pings) = (stand.connect(), stand.open("OPEN 9b1f03aa"), stand.connect());
+    for beat in 0..29 {
+        if beat % 5 == 0 {
+            stand.client_says(half, "5");
+        }
+        if beat % 9 == 0 {
+            stand.client_says(pings, "PING\r\n");
+        }
+        stand.later(0.1);
+    }
+    assert!(!stand.clients.contains_key(&silent) && !stand.clients.contains_key(&pings));
+    assert_eq!(stand.got(half), "ERR\r\n");
+    let flood = stand.open(&"PING\r\n".repeat(500));
+    assert!(stand.got(flood).len() < 50 && stand.got(flood).ends_with("ERR\r\n"));
+    let nowhere = stand.open("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,d=4294967,at=s-9\r\n");
+    (0..29).for_each(|_| stand.later(0.1));
+    assert_eq!(stand.got(nowhere), "ERR\r\n", "put back at a server that nobody knows");
+}
+
+#[test]
+fn the_id_of_another_open_request_gets_no_leg_until_that_one_has_ended() {
+    let mut stand = Stand::ready(1);
+    let line = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,d=1500\r\n";
+    let first = stand.open(line);
+    let second = stand.open(&line.replace("9b1f", "9B1F"));
+    assert_eq!((stand.got(second).as_str(), stand.dialled.len()), ("ERR\r\n", 1));
+    let leg = stand.leg();
+    stand.connected(leg);
+    stand.server_says(leg, "UP 1\r\n");
+    let third = stand.open(line);
+    assert_eq!((stand.got(third).as_str(), stand.dialled.len()), ("ERR\r\n", 1));
+    stand.server_says(leg, "BYE\r\n");
+    stand.tell(Event::Closed(End::Server(leg), How::Closed));
+    assert_eq!(stand.got(first), "UP 1\r\nBYE\r\n");
+    stand.open(line);
+    assert_eq!(stand.dialled.len(), 2);
+}
+
+/// Hundreds connect and say nothing, or do not go once they are answered, and the descriptors are theirs.
+#[test]
+fn those_who_only_hold_descriptors_give_them_up_to_usual_clients() {
+    let mut stand = Stand::ready(1);
+    let mut taken = 0;
+    for round in 0..400 {
+        if stand.accepting {
+            if round % 2 == 0 {
+                stand.connect();
+            } else {
+                stand.open("x\r\n");
+            }
+        }
+        if round % 8 == 0 {
+            if stand.accepting {
+                let client = stand.call("feed");
+                assert!(stand.got(client).is_empty(), "a usual client found no room in round {round}");
+                let leg = stand.leg();
+                stand.connected(leg);
+                stand.server_says(leg, "UP 1\r\n");
+                taken += 1;
+                stand.tell(Event::Closed(End::Client(client), How::Broken));
+            }
+            stand.later(0.05);
+        }
+    }
+    assert_eq!(taken, 50, "of as many usual clients");
 }
 
 #[test]
--- a/crates/dewhead-proxy/tests/sockets.rs
+++ b/crates/dewhead-proxy/tests/sockets.rs
@@ -31,7 +31,7 @@
         thread::spawn(move || {
             let mut lines = BufReader::new(socket.try_clone().unwrap());
             let head = line(&mut lines);
-            assert!(head.starts_with("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=shop-a,d="), "{head}");
+            assert!(head.contains("5c7e2d41 7f3a9c21e0b4d655 c=feed,t=shop-a,d="), "{head}");
             socket.write_all(b"UP 42\r\n").unwrap();
             loop {
                 let said = line(&mut lines);
@@ -96,7 +96,7 @@
     (0..times).for_each(|_| assert!(line(&mut lines) == much, "a line came back changed"));
     sending.join().unwrap();
     let mut leaver = TcpStream::connect(at).unwrap();
-    leaver.write_all(b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=shop-a,d=1500\r\n").unwrap();
+    leaver.write_all(b"OPEN 9b1f03ab5c7e2d41 7f3a9c21e0b4d655 c=feed,t=shop-a,d=1500\r\n").unwrap();
     leaver.shutdown(Shutdown::Write).unwrap();
     leaver.read_to_end(&mut Vec::new()).unwrap();
     stop.write_all(b"x").unwrap();
--- a/crates/dewhead-proxy/tests/wire.rs
+++ b/crates/dewhead-proxy/tests/wire.rs
@@ -60,24 +60,81 @@
     let line =
         b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=order,t=shop-b,d=2000,g=0000000000000001,h=19461.105\r\n";
     match opening(line, 10.0, 3.0, &startup.known, true) {
-        Ok(Opening::Open { wanted, wait, held_at }) => {
+        Ok(Opening::Open { id, wanted, wait, held_at }) => {
             assert_eq!(word(b"LOAD 19461.105"), Word::Load(wanted.hint.unwrap()));
             assert_eq!(
                 (wanted.traffic, wanted.shop, wanted.group, wanted.until),
                 (1, Some(1), Some(1), 12.0)
             );
             assert_eq!((wanted.key, &line[wait], held_at), (Some(0x7f3a_9c21_e0b4_d655), &b"2000"[..], None));
+            assert_eq!(id, 0x9b1f_03aa_5c7e_2d41);
         }
         other => panic!("{other:?}"),
     }
 }
 
+/// Such a line would go on to a server as it is, or let a call wait without a bound.
+#[test]
+fn a_field_that_is_known_is_checked_and_others_pass() {
+    let startup = Startup::read(&common::settings()).unwrap();
+    let (id, key) = ("9b1f03aa5c7e2d41", "7f3a9c21e0b4d655");
+    let understood = |line: String| {
+        let read = opening(line.as_bytes(), 0.0, 3.0, &startup.known, false);
+        matches!(read, Ok(Opening::Open { .. }))
+    };
+    let full = "c=feed,t=shop-a,d=1500,g=5c0f6e1a2b3d4c59,h=12.5,r=1,again=1,zz=\u{e9},x=";
+    assert!(understood(format!("OPEN {id} {key} {full}\r\n")));
+    for list in [
+        "c=feed",
+        "d=100",
+        "c=feed,d=",
+        "c=feed,d=-1",
+        "c=feed,d=+1",
+        "c=feed,d=0",
+        "c=feed,d=1e3",
+        "c=feed,d=NaN",
+        "c=feed,d=inf",
+        "c=feed,d=99999999999999999999",
+        "c=feed,d=5,d=6",
+        "c=feed,c=order,d=5",
+        "c=,d=5",
+        "c=Feed,d=5",
+        "c=feed,t=,d=5",
+        "c=feed,d=5,g=",
+        "c=feed,d=5,g=xyz",
+        "c=feed,d=5,g=15c0f6e1a2b3d4c59",
+        "c=feed,d=5,h=much",
+        "c=feed,d=5,h=-2",
+        "c=feed,d=5,r=yes",
+        "c=feed,d=5,again=",
+        "c=feed,d=5,at=",
+        "c=feed,d=5,",
+        "c=feed,,d=5",
+        "c=feed,d=5,x=\u{7}",
+        "c=feed,d=5 x=1",
+    ] {
+        assert!(!understood(format!("OPEN {id} {key} {list}\r\n")), "{list}");
+    }
+    for head in [
+        format!("OPEN {id} {key} c=feed,d=5\n"),
+        format!("OPEN {key} c=feed,d=5\r\n"),
+        format!("OPEN {id} x{key} c=feed,d=5\r\n"),
+        format!("OPEN {id}00 {key} c=feed,d=5\r\n"),
+        format!("OPEN {id}  c=feed,d=5\r\n"),
+        format!("open {id} {key} c=feed,d=5\r\n"),
+        format!("OPEN {id} {key} c=feed,d=5\r\r\n"),
+    ] {
+        assert!(!understood(head.clone()), "{head}");
+    }
+}
+
 #[test]
 fn no_bytes_make_the_readers_panic() {
     fn any(bytes: Vec<u8>, cut: usize) -> bool {
         let startup = Startup::read(&common::settings()).unwrap();
         let mut with_head = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,d=".to_vec();
         with_head.extend_from_slice(&bytes);
+        with_head.extend_from_slice(b",d=5\r\n");
         for line in [&bytes, &with_head] {
             if let Ok(Opening::Open { wait, held_at, .. }) = opening(line, 0.0, 1.0, &startup.known, true) {
                 assert!(wait.end <= line.len() && held_at.is_none_or(|at| at.end <= line.len()));
