A break alone cuts no limit, and a set-up's sign counts only while fresh

Two breaks made a server count as sick for twenty seconds. Ruled out: full servers (none answered BUSY), lost legs (3 of 500), descriptors (335 of 992), CPU (0.02 s a second). At fault: Ending::Broken in Call::ended (rules.rs) and messages_take in the reducer, which kept delays without their time.

Now what breaks cuts and judges only where a second one broke within the settling time of a cut, as what is shed or lost with a process breaks together; and a sign counts for the second after which it would be told again.

--- a/crates/dewhead-proxy/src/memory/servers.rs
+++ b/crates/dewhead-proxy/src/memory/servers.rs
@@ -11,8 +11,8 @@
     pub state: State,
     pub started: Option<f64>,
     pub pace: Pace,
-    /// What a message takes here, by its lines and by its set-ups.
-    pub delays: [f64; 2],
+    /// What a message takes here, by its lines and by its set-ups, and when each sign was last seen.
+    pub delays: [(f64, f64); 2],
     /// When the module was last told of slow messages here, and whether they still were.
     pub told_at: f64,
     pub slow: bool,
@@ -39,7 +39,7 @@
                 state: listed.state,
                 started: listed.started,
                 pace: Pace::default(),
-                delays: [0.0; 2],
+                delays: [(0.0, f64::NEG_INFINITY); 2],
                 told_at: f64::NEG_INFINITY,
                 slow: false,
             };
@@ -48,7 +48,9 @@
             address.dial = *dial;
             if address.started != listed.started {
                 // A process that started anew has a pace of its own.
-                (address.started, address.pace, address.delays) = (listed.started, Pace::default(), [0.0; 2]);
+                address.started = listed.started;
+                address.pace = Pace::default();
+                address.delays = [(0.0, f64::NEG_INFINITY); 2];
             }
         }
         self.0.retain(|id, _| !gone.contains(id));
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -121,6 +121,8 @@
 /// The signs of slow messages, by their places in `Address::delays`.
 const LINES: usize = 0;
 const SETUPS: usize = 1;
+/// How slow messages are at a server is told this often at the most.
+const TELL_AGAIN: f64 = 1.0;
 /// A connection that brings nothing back is lost by then, however long clients may wait for an answer; together with
 /// the next, within the seven seconds that are allowed.
 const MOST_SILENT: f64 = 5.5;
--- a/crates/dewhead-proxy/src/reducer/standing.rs
+++ b/crates/dewhead-proxy/src/reducer/standing.rs
@@ -1,6 +1,6 @@
 //! Standing connections: lines pass and are read along, and clients are sent away politely.
 
-use super::{Effect, End, How, Reducer, LINES, LINE_ENDS, SETUPS};
+use super::{Effect, End, How, Reducer, LINES, LINE_ENDS, TELL_AGAIN};
 use crate::memory::sessions::Stage;
 use crate::wire::answers::{self, word, Word};
 use dewhead::terms::Ending;
@@ -52,10 +52,13 @@
     pub(super) fn messages_take(&mut self, now: f64, leg: usize, sign: usize, took: f64) {
         let out = &self.legs[leg];
         let Some(server) = self.servers.0.get_mut(&out.server) else { return };
-        server.delays[sign] = took;
-        let took = f64::max(server.delays[LINES], server.delays[SETUPS]);
+        server.delays[sign] = (took, now);
+        // A sign counts for as long as it would not be told again. The last set-up's, told with each line that passed,
+        // was taken for a new one every second: the limit was cut for good, and nothing was set up to clear it.
+        let fresh = server.delays.iter().filter(|(_, at)| now - at < TELL_AGAIN);
+        let took = fresh.fold(0.0, |most, (took, _)| f64::max(most, *took));
         let slow = took > self.slow_from;
-        if (slow || server.slow) && now - server.told_at >= 1.0 {
+        if (slow || server.slow) && now - server.told_at >= TELL_AGAIN {
             server.told_at = now;
             server.slow = slow;
             if let Some(call) = &self.sessions[out.session].call {
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -479,3 +479,32 @@
     let to_slow = stand.dialled[before..].iter().filter(|port| **port == 9000).count();
     assert!(to_slow <= 2, "{to_slow} of 8 calls still went there");
 }
+
+/// On the reload day one slow set-up was told again with each line that passed, every second for half a minute.
+#[test]
+fn a_slow_set_up_is_not_told_again_when_only_lines_pass() {
+    let mut stand = Stand::ready(1);
+    let mut standing = Vec::new();
+    for took in [0.01; 40].into_iter().chain([0.12; 8]) {
+        let client = stand.call("feed");
+        if stand.got(client).is_empty() {
+            let leg = stand.leg();
+            stand.connected(leg);
+            stand.later(took);
+            stand.server_says(leg, "UP 1\r\nLOAD 100000\r\n");
+            standing.push((client, leg));
+        }
+    }
+    let moved = |stand: &Stand| stand.clients.values().filter(|c| c.got.ends_with(b"MOVE\r\n")).count();
+    let before = moved(&stand);
+    assert!(before > 0, "the slow set-ups themselves were told");
+    standing.retain(|(_, leg)| stand.servers.contains_key(leg));
+    for _ in 0..8 {
+        stand.later(1.0);
+        for (client, leg) in &standing {
+            stand.client_says(*client, "M\r\n");
+            stand.server_says(*leg, "M\r\n");
+        }
+    }
+    assert_eq!(stand.clients.len(), standing.len(), "all are still there whom no slow set-up moved");
+}
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -696,11 +696,15 @@
         let balancer = &self.balancer;
         match ending {
             Ending::Broken if self.stage.get() == Stage::Standing && self.bound.get() == leg => {
-                // What a server drops it has not carried.
-                let dropped = self.rate.get() * self.busy.get() * GRAIN;
-                server.carried.set((server.carried.get() - dropped).max(server.load.get() as f64));
-                server.judge(now, false);
-                balancer.overdriven(now, &server, 0.97);
+                // One connection that breaks is the network's doing as likely as not: what a server sheds, or loses
+                // with its process, breaks together. A cut for each turned away what the servers had room for.
+                if now - server.dropped_at.replace(now) < SETTLE * balancer.longest_guard {
+                    // What a server drops it has not carried.
+                    let dropped = self.rate.get() * self.busy.get() * GRAIN;
+                    server.carried.set((server.carried.get() - dropped).max(server.load.get() as f64));
+                    server.judge(now, false);
+                    balancer.overdriven(now, &server, 0.97);
+                }
             }
             Ending::Error | Ending::TimedOut | Ending::Unreachable | Ending::Broken => {
                 server.judge(now, false)
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -427,3 +427,20 @@
     let next = stand.take(0, Some(0.1), None);
     assert_eq!(stand.at(next), None, "the limit is made of the one that stands");
 }
+
+#[test]
+fn one_broken_connection_is_not_taken_for_an_overdriven_server() {
+    // Seen on days when networks break connections here and there: each break closed a server that had room.
+    for (apart, closes) in [(5.0, false), (0.1, true)] {
+        let mut stand = Stand::plain();
+        stand.list(News::Whole, &[server(1, 0, 1.0), server(2, 0, 1.0)]);
+        let all: Vec<(u64, u32)> = (0..20).map(|_| stand.standing(0.1)).collect();
+        let there: Vec<u64> = all.iter().filter(|(_, at)| *at == 1).map(|(id, _)| *id).collect();
+        for (times, id) in there[..2].iter().enumerate() {
+            stand.watcher.now.set(100.0 + times as f64 * apart);
+            stand.end(*id, 0, Ending::Broken);
+        }
+        let got = (0..6).filter(|_| stand.standing(0.1).1 == 1).count();
+        assert_eq!(got == 0, closes, "{got} of six calls went there, the breaks being {apart} s apart");
+    }
+}
