Crowds at a start cut nothing, breaks are judged by what is held, crossing at ten

Ruled out: the list's age (told within 0.6 s), rule 4's own margin, set-ups lost. At fault: pace.rs (nothing but six set-ups asked for), Balancer::adopt, Call::ended and the factor in Place::new, all in rules.rs.

--- a/crates/dewhead-proxy/src/memory/pace.rs
+++ b/crates/dewhead-proxy/src/memory/pace.rs
@@ -8,6 +8,8 @@
 const FASTER: f64 = 0.1;
 /// So many are needed before anything is said of a server.
 const FEW: u32 = 6;
+/// And so long since we or the server started, in parts of the time in which what is recent fades.
+const LEARNING: f64 = 0.5;
 /// Set-ups vary by themselves: recent ones may take this many times as long as usual ones.
 const VARIES: f64 = 2.0;
 
@@ -42,8 +44,15 @@
 
 impl Pace {
     /// A set-up was answered at `now`; what is recent fades in `fades` seconds. Returns by how much its server is
-    /// slower than set-ups vary by themselves, 0 where it is not.
-    pub fn set_up(&mut self, kinds: &mut Kinds, traffic: usize, took: f64, now: f64, fades: f64) -> f64 {
+    /// slower than set-ups vary by themselves, 0 where it is not, or where both it and we have not run for long: `ran`.
+    pub fn set_up(
+        &mut self,
+        kinds: &mut Kinds,
+        traffic: usize,
+        took: f64,
+        (now, ran): (f64, f64),
+        fades: f64,
+    ) -> f64 {
         let log = kinds.even(traffic, took);
         self.seen = self.seen.saturating_add(1);
         if self.seen == 1 {
@@ -54,7 +63,9 @@
         self.recent += (log - self.recent) * RECENT;
         let settled = if log > self.usual { SLOWER } else { FASTER };
         self.usual += (log - self.usual) * settled.max(1.0 / f64::from(self.seen.max(FEW)).powi(2));
-        if self.seen < FEW {
+        // A crowd that meets us just started, or a server just started, sets the first up at once and the others in
+        // turn. Taken for slow, each server was cut to the little that it held by then, and the crowd turned away.
+        if self.seen < FEW || ran < fades * LEARNING {
             return 0.0;
         }
         ((self.recent - self.usual).exp() / VARIES - 1.0).max(0.0)
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -139,6 +139,7 @@
     must_ask: bool,
     connect_limit: f64,
     longest_guard: f64,
+    began: f64,
     /// Messages that take longer are told to the module.
     slow_from: f64,
     /// What a message is reckoned to take where set-ups take twice what they vary by themselves.
@@ -187,6 +188,7 @@
             must_ask,
             connect_limit,
             longest_guard,
+            began: now,
             slow_from,
             slow_unit,
             kinds,
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -484,6 +484,7 @@
 #[test]
 fn a_slow_set_up_is_not_told_again_when_only_lines_pass() {
     let mut stand = Stand::ready(1);
+    stand.later(5.0);
     let mut standing = Vec::new();
     for took in [0.01; 40].into_iter().chain([0.12; 8]) {
         let client = stand.call("feed");
@@ -508,3 +509,25 @@
     }
     assert_eq!(stand.clients.len(), standing.len(), "all are still there whom no slow set-up moved");
 }
+
+/// On the reload day a proxy just started met hundreds of clients at once, took their queue for slow servers, cut each
+/// to the little that it held by then, and turned clients away for ten seconds.
+#[test]
+fn a_crowd_that_meets_a_proxy_just_started_is_not_turned_away() {
+    for (age, turned_away) in [(0.5, false), (6.0, true)] {
+        let mut stand = Stand::ready(2);
+        stand.later(age);
+        let mut busy = 0;
+        for at in 0..40 {
+            let client = stand.call("feed");
+            busy += usize::from(stand.got(client).starts_with("BUSY"));
+            if stand.got(client).is_empty() {
+                let leg = stand.leg();
+                stand.connected(leg);
+                stand.later(0.004 * f64::from(at.min(25)));
+                stand.server_says(leg, "UP 1\r\nLOAD 100000\r\n");
+            }
+        }
+        assert_eq!(busy > 0, turned_away, "{busy} of forty, {age} s after the start");
+    }
+}
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -33,6 +33,8 @@
 const SETTLE: f64 = 0.3;
 /// A cut leaves at least this part of the load, as a first delay told may be a chance one.
 const LEAST: f64 = 0.3;
+/// Connections that break together are more than one in this many of those held.
+const APART: u32 = 16;
 /// The golden section: its multiples spread evenly between 0 and 1, however many there are.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// How many mean loads apart the first and the last of a group's servers are ranked.
@@ -50,7 +52,7 @@
 impl Place {
     /// `price` is what crossing costs a call, and `moving` what a move costs, against 1 for serving it.
     pub fn new(home: usize, price: f64, moving: f64) -> Place {
-        Place { home: home as u32, abroad: 1.0 - 12.0 * price, homecoming: price > 4.0 * moving }
+        Place { home: home as u32, abroad: 1.0 - 10.0 * price, homecoming: price > 4.0 * moving }
     }
 
     fn factor(&self, zone: u32) -> f64 {
@@ -277,6 +279,8 @@
             Server::new(now, &unnamed, self.rounding(unnamed.id))
         });
         call.place(now, server);
+        // What stood before is no crowd: it counts as carried at once, or cold servers get next to nothing for long.
+        self.picked_at.set(f64::NEG_INFINITY);
         call.legs.borrow_mut().iter_mut().for_each(Leg::answered);
         call.stage.set(Stage::Standing);
         call
@@ -696,9 +700,14 @@
         let balancer = &self.balancer;
         match ending {
             Ending::Broken if self.stage.get() == Stage::Standing && self.bound.get() == leg => {
-                // One connection that breaks is the network's doing as likely as not: what a server sheds, or loses
-                // with its process, breaks together. A cut for each turned away what the servers had room for.
-                if now - server.dropped_at.replace(now) < SETTLE * balancer.longest_guard {
+                // Connections that break here and there are the network's doing: what a server sheds, or loses with its
+                // process, breaks together. A cut for each turned away what the servers had room for. Of a few held at a
+                // server, as in a large fleet, one is as many as a balancer may ever see break there.
+                let (since, count) = server.dropped.get();
+                let together = now - since < SETTLE * balancer.longest_guard;
+                let (since, count) = if together { (since, count + 1) } else { (now, 1) };
+                server.dropped.set((since, count));
+                if count > (server.held.get() + APART - 4) / APART {
                     // What a server drops it has not carried.
                     let dropped = self.rate.get() * self.busy.get() * GRAIN;
                     server.carried.set((server.carried.get() - dropped).max(server.load.get() as f64));
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -72,8 +72,8 @@
     /// The most own load this server has shown it carries, in grains; it cuts R_i and closes the server to more.
     pub(crate) limit: Cell<f64>,
     pub(crate) cut_at: Cell<f64>,
-    /// When it last dropped a standing connection of ours.
-    pub(crate) dropped_at: Cell<f64>,
+    /// Since when, and how many of our standing connections it dropped one soon after the other.
+    pub(crate) dropped: Cell<(f64, u32)>,
     /// Where this balancer's part of the server is rounded up, from 0 to 1; the others' lie evenly between.
     pub(crate) rounding: f64,
     /// Until when it is left alone as its queue was full.
@@ -122,7 +122,7 @@
             tried_at: Cell::new(f64::NEG_INFINITY),
             limit: Cell::new(f64::INFINITY),
             cut_at: Cell::new(now),
-            dropped_at: Cell::new(f64::NEG_INFINITY),
+            dropped: Cell::new((f64::NEG_INFINITY, 0)),
             carried: Cell::new(0.0),
             calls: RefCell::new(BTreeMap::new()),
             full_until: Cell::new(f64::NEG_INFINITY),
