--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -1,9 +1,9 @@
 //! All decisions of the balancer.
 //!
 //! How to call it: build the parts of `state.rs` (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`) from the few
-//! settings each takes, hand them to `Balancer::new` with a seed and the door (`outward.rs`), call `begin`, then tell
-//! it what happens. `take` gives a handle to the call, and all that happens to the call later is a method of that
-//! handle. Every method takes the clock; the module has none, does no I/O and shares nothing. Words: `terms.rs`.
+//! settings each takes, hand them to `Balancer::new` with a seed and the door (`outward.rs`), call `begin`,
+//! then tell it what happens. `take` gives a handle to the call, and all that happens to the call later is a
+//! method of that handle. Every method takes the clock; the module has none, and no I/O. Words: `terms.rs`.
 
 use crate::state::{Balancer, Call, Leg, Location, Place, Server, Shares, Stage, Thaw, Watch};
 use crate::terms::{Effect, Ending, Group, Listed, News, State, TrafficType, Wanted};
@@ -21,7 +21,7 @@
 const SLOW: f64 = 1.0 / 3.0;
 /// Work piled up at a server is to be gone in this part of the longest guard time.
 const DRAIN: f64 = 1.0;
-/// A timer may come this much early, as clocks are rounded on their way; taken for none, the next ask was lost.
+/// A timer may come this much early, as clocks are rounded on their way; else the next ask was lost.
 const EARLY: f64 = 1e-3;
 /// A leg not yet answered counts as this many mean connections more.
 const WAITING: f64 = 2.0;
@@ -120,8 +120,8 @@
         self.counted.get() >= 2 && 2 * well < self.counted.get()
     }
 
-    /// The limit now. It grows back slowly at first, so that a server just cut is not driven at once again, and
-    /// faster later, as what is known of it ages: by an e-fold in `growth` seconds.
+    /// The limit now. It grows back slowly at first, so that a server just cut is not driven at once again,
+    /// and faster later, as what is known of it ages: by an e-fold in `growth` seconds.
     fn limit(&self, now: f64, growth: f64) -> f64 {
         if self.limit.get().is_finite() {
             self.limit.get() * ((now - self.cut_at.get()) / growth).powi(2).exp()
@@ -130,8 +130,8 @@
         }
     }
 
-    /// Overdriven: what it holds now, less a part, is the most it carries. Far under what it carried since the
-    /// last cut, a crowd's set-up is the likelier cause, and a limit made of so little would turn the crowd away.
+    /// Overdriven: what it holds now, less a part, is the most it carries. Far under what it carried since
+    /// the last cut, a crowd's set-up is the likelier cause, and so small a limit would turn it away.
     fn cut(&self, now: f64, part: f64, growth: f64, mean: f64) {
         let (load, carried) = (self.load.get() as f64, self.carried.get());
         let most = if load + 2.0 * mean < 0.7 * carried { 0.9 * carried } else { load * part };
@@ -157,8 +157,8 @@
         self.chance.borrow_mut().rand_float()
     }
 
-    /// Where this balancer rounds its part of a server up. The golden section spreads the balancers evenly for
-    /// each server, so that many small parts, rounded to whole connections, still add up to the server's share.
+    /// Where this balancer rounds its part of a server up. The golden section spreads the balancers evenly
+    /// for each server, so that many small parts, rounded to whole connections, add up to its share.
     fn rounding(&self, server: u32) -> f64 {
         (rank(0, server) + self.position * GOLDEN).fract()
     }
@@ -179,7 +179,7 @@
     }
 
     /// Connections that stand abroad, after a spill or from before our start, come home while there is room:
-    /// the lightest first, a hundredth of what stands here at a time, none while home servers are near a limit.
+    /// the lightest first, a hundredth of what stands here at a time, none while home is near its limits.
     fn call_home(&self, now: f64) {
         let at = now + 0.05 * self.longest_guard;
         self.home_at.set(at);
@@ -201,7 +201,8 @@
         abroad.retain(|c| c.stage.get() == Stage::Standing && now - c.taken_at > self.longest_guard);
         abroad.sort_by(|a, b| a.rate.get().total_cmp(&b.rate.get()));
         drop(servers);
-        // Only where Eq. 1 would place them at home: with few own connections, some server there always seems free.
+        // Only where Eq. 1 would place them at home: with few connections, some server there always seems
+        // free.
         let home = abroad.first().and_then(|c| self.pick(now, c)).is_some_and(|s| s.zone == self.place.home);
         for call in abroad.iter().take((self.held.get() as usize).div_ceil(100)).filter(|_| home) {
             self.door.relocate(call.id);
@@ -279,7 +280,7 @@
             Server::new(now, &unnamed, self.rounding(unnamed.id))
         });
         call.place(now, server);
-        // What stood before is no crowd: it counts as carried at once, or cold servers get next to nothing for long.
+        // What stood before is no crowd: it counts as carried at once, or cold servers get next to nothing.
         self.picked_at.set(f64::NEG_INFINITY);
         call.legs.borrow_mut().iter_mut().for_each(Leg::answered);
         call.stage.set(Stage::Standing);
@@ -316,8 +317,8 @@
     fn pick(&self, now: f64, call: &Call) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         let (memory, total) = (self.memory(), self.load.get() as f64);
-        // Incident iadd0bb: summed up apart, without a branch, the servers come into the cache many at a time; the
-        // decisions below would else wait for memory at each of them.
+        // Incident iadd0bb: summed up apart, without a branch, the servers come into the cache many at a
+        // time; the decisions below would else wait for memory at each of them.
         let (mut near, mut ready, mut count) = (0.0, 0.0, 0.0);
         for server in servers.iter() {
             let here = f64::from(u8::from(server.state.get() == State::Ready));
@@ -350,14 +351,14 @@
                 warm.0 += f64::from(server.held.get());
                 warm.1 += weight;
             }
-            // A server just warmed holds little yet, and a crowd would all go there: it fills at its pace too.
+            // A server just warmed holds little yet, and a crowd would all go there: it has its pace too.
             let filling = age < 3.0 * self.thaw.warm_after && load < 0.5 * share;
             let limit = server.limit(now, growth);
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
-            // the crowd that returns keeps them so.
-            // A server that nothing is known of is as likely to be overdriven as those of its location that are known:
-            // at full size each balancer else fills servers that the others have closed. Not so one that has just
-            // started, which nobody has filled yet (incident ic788f7).
+            // the crowd that returns keeps them so. A server that nothing is known of is as likely to be
+            // overdriven as those of its location that are known: at full size each balancer else fills
+            // servers that the others have closed. Not so one that has just started, as nobody has filled it
+            // (ic788f7).
             let location = &self.locations[(server.zone as usize).min(self.locations.len() - 1)];
             let closed =
                 load + (1.0 - server.rounding) * rate > room * limit || now < server.full_until.get();
@@ -371,9 +372,9 @@
             if closed || (unknown && server.rounding < location.closed.get()) {
                 continue;
             }
-            // Crossing costs the same whatever the server's size, so that servers abroad are told apart by Eq. 1.
+            // Crossing costs the same whatever the server's size, so that Eq. 1 tells servers abroad apart.
             let price = (1.0 - factor) * mean_share;
-            // Legs not yet answered weigh more: set-up is work of its own, and a server that answers none is slow.
+            // Legs not yet answered weigh more: set-up is work, and a server that answers none is slow.
             let waiting = WAITING * mean * f64::from(server.waiting.get());
             let mut left = share.min(limit) - price - load - waiting + server.rounding * mean;
             if let (true, Some((asked, own, at))) = (self.reports.get(), server.report.get()) {
@@ -429,8 +430,8 @@
         best.or(second).map(|(_, server)| server.clone())
     }
 
-    /// A server that holds none of a call's group here pays for the group. Each balancer ranks a group's servers
-    /// alike, so that its parts meet on the same few.
+    /// A server that holds none of a call's group here pays for the group. Each balancer ranks a group's
+    /// servers alike, so that its parts meet on the same few.
     fn group_price(&self, call: &Call, server: &Server, mean: f64) -> f64 {
         match call.wanted.group {
             Some(group) if self.group_cost > 0.0 && !server.groups.borrow().contains_key(&group) => {
@@ -440,9 +441,9 @@
         }
     }
 
-    /// Rule 4: this balancer's part of what a cold server can take. A server here holds so many own connections
-    /// for its weight, and one that starts is filled over its warm-up; the budget fills at that pace times the
-    /// present share and the multiple, less a margin, or at one connection a window for all balancers together.
+    /// Rule 4: this balancer's part of what a cold server can take. A server here holds so many own
+    /// connections for its weight, and one that starts is filled over its warm-up; the budget fills at that
+    /// pace times the present share and the multiple, less a margin, or at one connection a window for all.
     fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
         let pace = self.held_by_weight.get() * server.weight.get() / self.thaw.warm_after;
         let least = 1.0 / (self.siblings * self.thaw.window);
@@ -674,8 +675,8 @@
             None => return,
         };
         let balancer = &self.balancer;
-        // What a message takes is work piled up: it grows by what is asked beyond what the server can do. Told
-        // for the first time, it was under the telling a second ago.
+        // What a message takes is work piled up: it grows by what is asked beyond what the server can do.
+        // Told for the first time, it was under the telling a second ago.
         let (before, at) = server.delay.replace((delay, now));
         let slope = match now - at {
             gap if gap > 0.0 && gap < 2.5 => (delay - before) / gap,
@@ -700,9 +701,9 @@
         let balancer = &self.balancer;
         match ending {
             Ending::Broken if self.stage.get() == Stage::Standing && self.bound.get() == leg => {
-                // Connections that break here and there are the network's doing: what a server sheds, or loses with its
-                // process, breaks together. A cut for each turned away what the servers had room for. Of a few held at a
-                // server, as in a large fleet, one is as many as a balancer may ever see break there.
+                // Connections that break here and there are the network's doing: what a server sheds, or
+                // loses with its process, breaks together. A cut for each turned away what the servers had
+                // room for. Of a few held, one is as many as may ever be seen to break.
                 let (since, count) = server.dropped.get();
                 let together = now - since < SETTLE * balancer.longest_guard;
                 let (since, count) = if together { (since, count + 1) } else { (now, 1) };
@@ -720,7 +721,7 @@
             }
             // Full is capacity, not sickness.
             Ending::Full => {
-                // Incident iadd0bb: a full queue answers at once, and each balancer's next calls were sent there too.
+                // Incident iadd0bb: a full queue answers at once, and the next calls all went there too.
                 server.full_until.set(now + balancer.longest_guard * balancer.draw());
                 balancer.overdriven(now, &server, 0.97);
             }
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -451,7 +451,7 @@
     let mut stand = Stand::plain();
     let two = [server(1, 0, 1.0), server(2, 0, 1.0)];
     stand.list(News::Whole, &two);
-    (0..3).for_each(|_| drop(stand.standing(0.1)));
+    (0..3).for_each(|_| assert!(stand.standing(0.1).1 > 0));
     for held in 0..60 {
         let wanted = Wanted {
             traffic: 0,
