--- /dev/null
+++ b/crates/dewhead-lab/src/commands/mod.rs
@@ -0,0 +1,46 @@
+//! The command line.
+
+mod compare;
+mod kinds;
+mod replay;
+mod run;
+mod table;
+
+use argh::FromArgs;
+
+/// Experiments on dewhead proxies in a world of the project's own.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(run::Run),
+    Compare(compare::Compare),
+    Replay(replay::Replay),
+    Table(table::Table),
+    Kinds(kinds::Kinds),
+}
+
+/// Runs the program; what it returns is the exit code.
+pub fn carry_out() -> i32 {
+    let line: Line = argh::from_env();
+    let outcome = match line.command {
+        Command::Run(run) => run.carry_out(),
+        Command::Compare(compare) => compare.carry_out(),
+        Command::Replay(replay) => replay.carry_out(),
+        Command::Table(table) => table.carry_out(),
+        Command::Kinds(kinds) => kinds.carry_out(),
+    };
+    match outcome {
+        Ok(true) => 0,
+        Ok(false) => 2,
+        Err(fault) => {
+            eprintln!("dewhead-lab: {fault}");
+            1
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewhead-lab/src/commands/run.rs
@@ -0,0 +1,80 @@
+//! `run`: plays an experiment over its seeds and its matrix.
+
+use crate::runs::{self, Played, Task};
+use argh::FromArgs;
+use std::path::PathBuf;
+
+/// Play an experiment; exit code 2 where a rule was broken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct Run {
+    /// the experiment's file
+    #[argh(positional)]
+    file: PathBuf,
+    /// seeds: 3, 1..10 or 1,4,9; the file's if not given
+    #[argh(option)]
+    seeds: Option<String>,
+    /// who decides: dewhead (if not given), random, round-robin, least-own, two-choices or top
+    #[argh(option, default = "String::from(\"dewhead\")")]
+    who: String,
+    /// where to write the runs as JSON lines
+    #[argh(option)]
+    out: Option<PathBuf>,
+    /// say nothing but breaches
+    #[argh(switch, short = 'q')]
+    quiet: bool,
+}
+
+impl Run {
+    pub fn carry_out(&self) -> Result<bool, String> {
+        let of = runs::read(&self.file)?;
+        let points = of.points().map_err(|e| format!("{}: {e}", self.file.display()))?;
+        let seeds = self.seeds.as_deref().map_or(Ok(of.seeds.clone()), runs::seeds)?;
+        let who = runs::who(&self.who)?;
+        let tasks: Vec<Task> = points
+            .iter()
+            .flat_map(|(point, of)| {
+                seeds.iter().map(|seed| Task { point: point.clone(), of: of.clone(), seed: *seed, who })
+            })
+            .collect();
+        let played = runs::play_all(&tasks, !self.quiet);
+        if let Some(dir) = &self.out {
+            runs::write(dir, &points, &played)?;
+        }
+        if !self.quiet {
+            println!("{}: {}", of.name, of.about);
+            played.iter().for_each(tell);
+        }
+        let file = self.file.display().to_string();
+        for one in &played {
+            for breach in &one.breaches {
+                runs::tell_breach(breach, &file, one.seed, &one.who);
+            }
+        }
+        Ok(played.iter().all(|p| p.breaches.is_empty()))
+    }
+}
+
+/// A run in one line.
+pub fn tell(one: &Played) {
+    let (o, c) = (&one.outcome, &one.outcome.counts);
+    let point = if one.point.is_empty() { String::new() } else { format!("  [{}]", one.point) };
+    println!(
+        "seed {:>3}  service {:.4}  worst 10 s {:.3}  worst type {:.3}  set-up p50 {:>4.0} ms p99 {:>5.0} ms  \
+         completed {}  rejected {}  failed {}  moved {}  broken {}  fallen {}  breaches {}  {:.0} s/s{point}",
+        one.seed,
+        o.service,
+        o.worst_ten,
+        o.worst_type,
+        o.set_up[0] * 1e3,
+        o.set_up[1] * 1e3,
+        c.completed,
+        c.rejected,
+        c.failed + c.unanswered,
+        c.moved,
+        c.broken,
+        c.nodes_fallen,
+        one.breaches.len(),
+        one.outcome.wanted.len() as f64 / one.took.max(1e-9),
+    );
+}
--- /dev/null
+++ b/crates/dewhead-lab/src/main.rs
@@ -0,0 +1,3 @@
+fn main() {
+    std::process::exit(dewhead_lab::commands::carry_out());
+}
--- /dev/null
+++ b/crates/dewhead-lab/src/policy.rs
@@ -0,0 +1,58 @@
+//! Baselines: plain ways to place a connection, and a top that sees what no proxy can.
+
+use dewhead_world::nodes::State;
+use dewhead_world::world::World;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Policy {
+    Random,
+    RoundRobin,
+    /// Least of the proxy's own connections.
+    LeastOwn,
+    /// The lesser of two drawn at random, by the proxy's own connections.
+    TwoChoices,
+    /// Sees every node's true state.
+    Top,
+}
+
+pub const ALL: [(&str, Policy); 5] = [
+    ("random", Policy::Random),
+    ("round-robin", Policy::RoundRobin),
+    ("least-own", Policy::LeastOwn),
+    ("two-choices", Policy::TwoChoices),
+    ("top", Policy::Top),
+];
+
+/// A node's true state.
+#[derive(Clone, Copy, Debug)]
+pub struct Truth {
+    pub up: bool,
+    pub zone: usize,
+    pub capacity: f64,
+    /// What stands, and what is being set up.
+    pub load: f64,
+    pub delay: f64,
+    pub errors: f64,
+}
+
+/// All nodes' true states as of a moment ago, by name; what has been placed since is added by who places it.
+pub type Truths = Rc<RefCell<Vec<(String, Truth)>>>;
+
+/// Looks at the whole world.
+pub fn look(world: &World, now: f64) -> Vec<(String, Truth)> {
+    let one = |n: usize| {
+        let node = &world.nodes[n];
+        let truth = Truth {
+            up: node.state == State::Up,
+            zone: node.zone,
+            capacity: node.capacity(now),
+            load: node.load(),
+            delay: node.delay(now),
+            errors: node.errors,
+        };
+        (world.node_name(n).to_owned(), truth)
+    };
+    (0..world.nodes.len()).map(one).collect()
+}
--- /dev/null
+++ b/crates/dewhead-lab/src/simulated.rs
@@ -0,0 +1,486 @@
+//! The host in simulated time: whole fleets of real reducers, or of plain proxies, in one process, on one thread, with
+//! every byte and every moment set by the seed.
+
+use crate::plain::{Fault, Plain};
+use crate::policy::{self, Policy, Truths};
+use dewhead_proxy::reducer::{Effect, End, Event, How, Reducer};
+use dewhead_proxy::wire::http;
+use dewhead_startup::Startup;
+use dewhead_world::discovery::EPOCH;
+use dewhead_world::experiment::Experiment;
+use dewhead_world::settings::settings;
+use dewhead_world::world::{self, LinkKey, Signal, Target, World};
+use serde_json::Value;
+use slotmap::SecondaryMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+
+/// What runs as a proxy: the reducer that is shipped, or a plain one of the lab's.
+pub trait Proxy {
+    fn step(&mut self, now: f64, event: Event);
+    fn effects(&mut self) -> Vec<Effect>;
+    fn next_due(&self) -> Option<f64>;
+    /// A session's first line, for `Effect::Head`.
+    fn head(&self, session: usize) -> &[u8];
+}
+
+impl Proxy for Reducer {
+    fn step(&mut self, now: f64, event: Event) {
+        Reducer::step(self, now, event);
+    }
+    fn effects(&mut self) -> Vec<Effect> {
+        Reducer::effects(self)
+    }
+    fn next_due(&self) -> Option<f64> {
+        Reducer::next_due(self)
+    }
+    fn head(&self, session: usize) -> &[u8] {
+        Reducer::head(self, session)
+    }
+}
+
+/// Who decides at the proxies.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Who {
+    Dewhead,
+    Plain(Policy),
+    /// A plain proxy that is broken on purpose, to try the auditor.
+    Broken(Fault),
+}
+
+/// Which of a process's ends a link is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum At {
+    Client(usize),
+    Leg(usize),
+    Watch,
+}
+
+struct Process {
+    proxy: Box<dyn Proxy>,
+    clients: Vec<Option<LinkKey>>,
+    legs: Vec<Option<LinkKey>>,
+    watch: Option<LinkKey>,
+    /// Versions asked for on the watch once it is up.
+    since: u64,
+    accepting: bool,
+    /// Clients in the listener's queue.
+    waiting: VecDeque<LinkKey>,
+    fresh: Option<LinkKey>,
+    due: Option<f64>,
+}
+
+/// The host.
+pub struct Simulated {
+    pub world: World,
+    who: Who,
+    processes: Vec<Option<Process>>,
+    at: SecondaryMap<LinkKey, At>,
+    /// When processes want to be woken, soonest first; entries that no longer hold are passed over.
+    due: BinaryHeap<Reverse<(u64, usize)>>,
+    truths: Truths,
+    looked: f64,
+    now: f64,
+    /// Things that happened, for the measure of speed.
+    pub events: u64,
+}
+
+/// What the top sees is so old at the most.
+const LOOK: f64 = 0.01;
+
+/// Half a microsecond.
+const TIMER_GRAIN: f64 = 5e-7;
+
+fn node_address(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, (node >> 8) as u8, node as u8], 8081))
+}
+
+fn agent_address(address: usize) -> SocketAddr {
+    SocketAddr::from(([10, 2, (address >> 8) as u8, address as u8], 8500))
+}
+
+/// Which node, or which of discovery's addresses, an address is.
+fn place(address: SocketAddr) -> usize {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => {
+            let [.., high, low] = ip.octets();
+            usize::from(high) << 8 | usize::from(low)
+        }
+        std::net::IpAddr::V6(_) => 0,
+    }
+}
+
+fn put(list: &mut Vec<Option<LinkKey>>, slot: usize, key: LinkKey) {
+    if list.len() <= slot {
+        list.resize(slot + 1, None);
+    }
+    list[slot] = Some(key);
+}
+
+impl Simulated {
+    pub fn new(of: &Experiment, seed: u64, who: Who) -> Simulated {
+        let mut world = World::new(of, seed);
+        world.address_nodes(|_, n| node_address(n).to_string());
+        let proxies = world.proxies.len();
+        Simulated {
+            world,
+            who,
+            processes: (0..proxies).map(|_| None).collect(),
+            at: SecondaryMap::new(),
+            due: BinaryHeap::new(),
+            truths: Truths::default(),
+            looked: -1.0,
+            now: 0.0,
+            events: 0,
+        }
+    }
+
+    /// Plays until this second.
+    pub fn run(&mut self, until: f64) {
+        loop {
+            let world = self.world.next_due().unwrap_or(f64::INFINITY);
+            let process = self.next_process();
+            let at = process.map_or(f64::INFINITY, |(due, _)| due - EPOCH);
+            if world.min(at) > until {
+                break;
+            }
+            self.events += 1;
+            if let Some((due, p)) = process.filter(|_| at <= world) {
+                self.now = self.now.max(at);
+                self.due.pop();
+                if let Some(process) = &mut self.processes[p] {
+                    process.due = None;
+                }
+                self.tell(p, due, Event::Tick, &[]);
+            } else {
+                self.now = self.now.max(world);
+                self.world.step(world);
+            }
+            self.carry_out();
+        }
+    }
+
+    /// Sessions that processes hold.
+    pub fn open_sessions(&self) -> usize {
+        self.processes.iter().flatten().map(|p| p.clients.iter().flatten().count()).sum()
+    }
+
+    /// The process to be woken next, and when by its own clock.
+    fn next_process(&mut self) -> Option<(f64, usize)> {
+        while let Some(Reverse((bits, p))) = self.due.peek().copied() {
+            let due = f64::from_bits(bits);
+            if self.processes[p].as_ref().is_some_and(|one| one.due == Some(due)) {
+                return Some((due, p));
+            }
+            self.due.pop();
+        }
+        None
+    }
+
+    /// What the world asks for, until it asks for nothing more.
+    fn carry_out(&mut self) {
+        loop {
+            let effects = self.world.effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.world_effect(effect);
+            }
+        }
+    }
+
+    fn clock(&self) -> f64 {
+        EPOCH + self.now
+    }
+
+    fn world_effect(&mut self, effect: world::Effect) {
+        let clock = self.clock();
+        match effect {
+            world::Effect::Start(p, known) => self.start(p, &known),
+            world::Effect::Signal(p, Signal::Stop) => self.tell(p, clock, Event::Stop, &[]),
+            world::Effect::Signal(p, Signal::Kill) => {
+                if self.processes[p].is_some() {
+                    self.end(p);
+                }
+            }
+            world::Effect::Renew(p, address) => {
+                let event = Event::Renewed(agent_address(address), self.world.of.proxy.sockets);
+                self.tell(p, clock, event, &[]);
+            }
+            world::Effect::Connect(key, p) => {
+                if let Some(process) = &mut self.processes[p] {
+                    process.waiting.push_back(key);
+                    self.accept(p);
+                }
+            }
+            world::Effect::Up(key) => match self.whose(key) {
+                Some((p, At::Leg(leg))) => self.tell(p, clock, Event::Connected(leg), &[]),
+                Some((p, At::Watch)) => {
+                    let since = self.processes[p].as_ref().map_or(0, |one| one.since);
+                    self.world.said(self.now, key, &http::follow("discovery", since));
+                    self.tell(p, clock, Event::WatchOpen, &[]);
+                }
+                _ => {}
+            },
+            world::Effect::Refused(key) => match self.refused(key) {
+                Some((p, At::Leg(leg))) => self.tell(p, clock, Event::Refused(leg), &[]),
+                Some((p, At::Watch)) => self.lose_watch(p),
+                _ => {}
+            },
+            world::Effect::Bytes(key, bytes) => match self.whose(key) {
+                Some((p, At::Client(slot))) => {
+                    self.tell(p, clock, Event::Bytes(End::Client(slot), &bytes), &bytes);
+                }
+                Some((p, At::Leg(leg))) => {
+                    self.tell(p, clock, Event::Bytes(End::Server(leg), &bytes), &bytes)
+                }
+                Some((p, At::Watch)) => self.tell(p, clock, Event::Watch(&bytes), &[]),
+                None => {}
+            },
+            world::Effect::End(key, how) => {
+                let how = if how == world::How::Broken { How::Broken } else { How::Closed };
+                match self.whose(key) {
+                    Some((p, At::Client(slot))) => {
+                        self.tell(p, clock, Event::Closed(End::Client(slot), how), &[])
+                    }
+                    Some((p, At::Leg(leg))) => self.tell(p, clock, Event::Closed(End::Server(leg), how), &[]),
+                    Some((p, At::Watch)) => {
+                        self.at.remove(key);
+                        self.world.ended(self.now, key, world::How::Closed);
+                        self.lose_watch(p);
+                    }
+                    None => {}
+                }
+            }
+        }
+    }
+
+    fn whose(&self, key: LinkKey) -> Option<(usize, At)> {
+        Some((self.world.proxy_of(key)?, *self.at.get(key)?))
+    }
+
+    /// A link that the world has given back already.
+    fn refused(&mut self, key: LinkKey) -> Option<(usize, At)> {
+        let at = self.at.remove(key)?;
+        let holds = |p: &Process| match at {
+            At::Leg(leg) => p.legs.get(leg) == Some(&Some(key)),
+            At::Watch => p.watch == Some(key),
+            At::Client(_) => false,
+        };
+        let p = self.processes.iter().position(|p| p.as_ref().is_some_and(holds))?;
+        Some((p, at))
+    }
+
+    fn lose_watch(&mut self, p: usize) {
+        if let Some(process) = &mut self.processes[p] {
+            process.watch = None;
+            let clock = self.clock();
+            self.tell(p, clock, Event::WatchLost, &[]);
+        }
+    }
+
+    fn start(&mut self, p: usize, known: &Value) {
+        if self.processes[p].is_some() {
+            return;
+        }
+        let clock = self.clock();
+        let (of, seed) = (&self.world.of, u128::from(self.world.proxy_seed(p)));
+        let startup = Startup::read(&settings(of, p)).expect("the settings are the world's own");
+        let discovery = agent_address(self.world.discovery_address(p));
+        let proxy: Box<dyn Proxy> = match self.who {
+            Who::Dewhead => Box::new(Reducer::new(clock, startup, seed, discovery, of.proxy.sockets, known)),
+            Who::Plain(policy) => Box::new(Plain::new(
+                clock,
+                startup,
+                of,
+                p,
+                seed,
+                discovery,
+                known,
+                policy,
+                None,
+                self.truths.clone(),
+            )),
+            Who::Broken(fault) => {
+                let (policy, truths) = (Policy::LeastOwn, self.truths.clone());
+                Box::new(Plain::new(
+                    clock,
+                    startup,
+                    of,
+                    p,
+                    seed,
+                    discovery,
+                    known,
+                    policy,
+                    Some(fault),
+                    truths,
+                ))
+            }
+        };
+        self.processes[p] = Some(Process {
+            proxy,
+            clients: Vec::new(),
+            legs: Vec::new(),
+            watch: None,
+            since: 0,
+            accepting: true,
+            waiting: VecDeque::new(),
+            fresh: None,
+            due: None,
+        });
+        self.apply(p, clock, &[]);
+        self.world.ready(self.now, p);
+    }
+
+    fn end(&mut self, p: usize) {
+        if let Some(process) = self.processes[p].take() {
+            for key in process.clients.iter().chain(&process.legs).flatten().chain(&process.watch) {
+                self.at.remove(*key);
+            }
+            self.world.gone(self.now, p);
+        }
+    }
+
+    fn accept(&mut self, p: usize) {
+        while let Some(process) = self.processes[p].as_mut().filter(|one| one.accepting) {
+            let Some(key) = process.waiting.pop_front() else { return };
+            process.fresh = Some(key);
+            let clock = self.clock();
+            self.tell(p, clock, Event::Accepted, &[]);
+        }
+    }
+
+    fn tell(&mut self, p: usize, clock: f64, event: Event, bytes: &[u8]) {
+        if self.who == Who::Plain(Policy::Top) && self.now - self.looked >= LOOK {
+            self.looked = self.now;
+            *self.truths.borrow_mut() = policy::look(&self.world, self.now);
+        }
+        let Some(process) = &mut self.processes[p] else { return };
+        // As the loop does: timers that are due come before what the sockets have.
+        if !matches!(event, Event::Tick) && process.proxy.next_due().is_some_and(|at| at <= clock) {
+            process.proxy.step(clock, Event::Tick);
+            self.apply(p, clock, &[]);
+        }
+        let Some(process) = &mut self.processes[p] else { return };
+        process.proxy.step(clock, event);
+        self.apply(p, clock, bytes);
+    }
+
+    fn link(&self, p: usize, end: End) -> Option<LinkKey> {
+        let process = self.processes[p].as_ref()?;
+        match end {
+            End::Client(slot) => *process.clients.get(slot)?,
+            End::Server(leg) => *process.legs.get(leg)?,
+        }
+    }
+
+    fn say(&mut self, p: usize, end: End, bytes: &[u8]) {
+        if let Some(key) = self.link(p, end).filter(|_| !bytes.is_empty()) {
+            self.world.said(self.now, key, bytes);
+        }
+    }
+
+    /// Carries out what a process asks for, and what it asks for meanwhile.
+    fn apply(&mut self, p: usize, clock: f64, bytes: &[u8]) {
+        let mut written: Vec<usize> = Vec::new();
+        let effects = self.processes[p].as_mut().map_or(Vec::new(), |one| one.proxy.effects());
+        let mut accept = false;
+        let mut exit = false;
+        for effect in effects {
+            match effect {
+                Effect::Admit(slot) => {
+                    if let Some(process) = &mut self.processes[p] {
+                        if let Some(key) = process.fresh.take() {
+                            put(&mut process.clients, slot, key);
+                            self.at.insert(key, At::Client(slot));
+                        }
+                    }
+                }
+                Effect::Dial(leg, to) => {
+                    let key = self.world.dialled(self.now, p, Target::Node(place(to)));
+                    self.at.insert(key, At::Leg(leg));
+                    if let Some(process) = &mut self.processes[p] {
+                        put(&mut process.legs, leg, key);
+                    }
+                }
+                Effect::Head { leg, session, wait, figure } => {
+                    let Some(process) = &self.processes[p] else { continue };
+                    let head = process.proxy.head(session);
+                    let text = if wait.is_empty() {
+                        head.to_vec()
+                    } else {
+                        [&head[..wait.start], figure.to_string().as_bytes(), &head[wait.end..]].concat()
+                    };
+                    self.say(p, End::Server(leg), &text);
+                    written.push(leg);
+                }
+                Effect::Pass(end, range) => self.say(p, end, &bytes[range]),
+                Effect::Text(end, text) => self.say(p, end, &text),
+                Effect::Finish(end) => {
+                    if let Some(key) = self.link(p, end) {
+                        self.world.ended(self.now, key, world::How::Finished);
+                    }
+                }
+                Effect::Close(end, how) => {
+                    if let Some(key) = self.link(p, end) {
+                        let how = if how == How::Broken { world::How::Broken } else { world::How::Closed };
+                        self.at.remove(key);
+                        self.world.ended(self.now, key, how);
+                        if let Some(process) = &mut self.processes[p] {
+                            match end {
+                                End::Client(slot) => process.clients[slot] = None,
+                                End::Server(leg) => process.legs[leg] = None,
+                            }
+                        }
+                    }
+                }
+                Effect::Accepting(on) => {
+                    if let Some(process) = &mut self.processes[p] {
+                        process.accepting = on;
+                        accept |= on;
+                    }
+                }
+                Effect::Follow(to, since) => {
+                    self.unfollow(p);
+                    let key = self.world.dialled(self.now, p, Target::Agent(place(to)));
+                    self.at.insert(key, At::Watch);
+                    if let Some(process) = &mut self.processes[p] {
+                        (process.watch, process.since) = (Some(key), since);
+                    }
+                }
+                Effect::Unfollow => self.unfollow(p),
+                Effect::Exit => exit = true,
+            }
+        }
+        if exit {
+            return self.end(p);
+        }
+        if let Some(process) = &mut self.processes[p] {
+            // A little later, as timers are kept in whole microseconds.
+            let due = process.proxy.next_due().map(|at| at.max(clock) + TIMER_GRAIN);
+            if due != process.due {
+                process.due = due;
+                // Times are positive, so that their bits order as they do.
+                self.due.extend(due.map(|at| Reverse((at.to_bits(), p))));
+            }
+        }
+        for leg in written {
+            if let Some(process) = &mut self.processes[p] {
+                process.proxy.step(clock, Event::HeadWritten(leg));
+                self.apply(p, clock, &[]);
+            }
+        }
+        if accept {
+            self.accept(p);
+        }
+    }
+
+    fn unfollow(&mut self, p: usize) {
+        if let Some(key) = self.processes[p].as_mut().and_then(|one| one.watch.take()) {
+            self.at.remove(key);
+            self.world.ended(self.now, key, world::How::Closed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewhead-lab/tests/simulated.rs
@@ -0,0 +1,148 @@
+//! The world in simulated time: determinism, the auditor against proxies that are broken on purpose, rules kept by those
+//! that are not, and nothing left over.
+
+use dewhead_lab::plain::{Fault, FAULTS};
+use dewhead_lab::policy::Policy;
+use dewhead_lab::runs::{play, play_all, Task};
+use dewhead_lab::simulated::{Simulated, Who};
+use dewhead_world::audit::Rule;
+use dewhead_world::experiment::Experiment;
+
+/// Small, short, and with something of everything: three effects, errors, deaths, drains, restarts.
+const ROUGH: &str = r#"
+seconds = 30
+[fleet]
+proxies = 2
+nodes = 6
+cell = 2
+[load]
+utilisation = 0.3
+[[machine]]
+name = "small"
+cores = 1
+warm_after = [6, 8]
+[[traffic]]
+name = "feeds"
+share = 0.4
+life = 8
+[[traffic]]
+name = "orders"
+share = 0.3
+effect = "once-only"
+life = 8
+[[traffic]]
+name = "notes"
+share = 0.3
+effect = "referenced"
+scope = "cell"
+life = 8
+[[trouble]]
+kind = "fast-errors"
+at = 8
+lasts = 14
+part = 0.5
+size = 2
+[[trouble]]
+kind = "drain"
+at = 7
+lasts = 20
+part = 0.8
+size = 2
+[[trouble]]
+kind = "restart-stop"
+at = 12
+lasts = 8
+part = 1
+[[trouble]]
+kind = "node-restart"
+at = 16
+lasts = 1
+part = 0.4
+"#;
+
+fn rough() -> Experiment {
+    Experiment::read(ROUGH).expect("it is sound")
+}
+
+fn task(seed: u64, who: Who) -> Task {
+    Task { point: String::new(), of: rough(), seed, who }
+}
+
+#[test]
+fn the_same_seed_is_the_same_trace_on_one_thread_and_on_many() {
+    let tasks: Vec<Task> = [1, 2, 3, 1].iter().map(|s| task(*s, Who::Dewhead)).collect();
+    let many = play_all(&tasks, false);
+    let one: Vec<_> = tasks.iter().map(play).collect();
+    let digests = |of: &[dewhead_lab::runs::Played]| of.iter().map(|p| p.digest.clone()).collect::<Vec<_>>();
+    assert_eq!(digests(&many), digests(&one));
+    assert_eq!(many[0].digest, many[3].digest);
+    assert_ne!(many[0].digest, many[1].digest, "another seed is another trace");
+}
+
+#[test]
+fn who_breaks_nothing_is_told_of_nothing() {
+    for who in [
+        Who::Dewhead,
+        Who::Plain(Policy::Random),
+        Who::Plain(Policy::RoundRobin),
+        Who::Plain(Policy::LeastOwn),
+        Who::Plain(Policy::TwoChoices),
+        Who::Plain(Policy::Top),
+    ] {
+        for seed in [1, 2] {
+            let played = play(&task(seed, who));
+            assert!(played.breaches.is_empty(), "{who:?}, seed {seed}: {:#?}", played.breaches[0]);
+            assert!(played.outcome.counts.completed > 100, "{who:?} serves: {:?}", played.outcome.counts);
+        }
+    }
+}
+
+/// The rule that each broken proxy breaks.
+fn broken_by(fault: Fault) -> Rule {
+    match fault {
+        Fault::AnswersTwice | Fault::LosesCalls | Fault::ForgetsCalls | Fault::MakesUpAnswers => {
+            Rule::OneAnswer
+        }
+        Fault::OverlapsLegs | Fault::OneLegMore | Fault::RepeatsOnceOnly => Rule::NoEffectTwice,
+        Fault::RejectsWhatRan | Fault::LeavesTheGroup => Rule::NoEffectTwice,
+        Fault::IgnoresDrains => Rule::Drains,
+        Fault::FloodsCold => Rule::ColdNodes,
+        Fault::CutsOff | Fault::KeepsDead | Fault::StopsHard => Rule::NoCut,
+        Fault::HoldsLines | Fault::ChangesLines => Rule::Lines,
+    }
+}
+
+#[test]
+fn each_broken_proxy_is_caught_by_the_right_rule() {
+    for fault in FAULTS {
+        let mut of = rough();
+        if fault == Fault::FloodsCold {
+            // One that has just started gets all of a crowd that asks for more than it can do.
+            of.load.utilisation = 0.9;
+            of.node.longest_queue = 60.0;
+        }
+        let played = play(&Task { point: String::new(), of, seed: 1, who: Who::Broken(fault) });
+        let caught = played.breaches.iter().find(|b| b.rule == broken_by(fault));
+        let rules: Vec<_> = played.breaches.iter().map(|b| (b.rule, &b.what)).collect();
+        let caught = caught.unwrap_or_else(|| panic!("{fault:?} is not caught: {rules:?}"));
+        assert!(caught.call.is_none() || !caught.trace.is_empty(), "a call's breach comes with its trace");
+    }
+}
+
+#[test]
+fn nothing_is_left_over_once_clients_come_no_more() {
+    for seed in 1..=3 {
+        let mut of = rough();
+        of.seconds = 20.0;
+        let mut host = Simulated::new(&of, seed, Who::Dewhead);
+        host.run(20.0);
+        assert!(host.world.links_open() > 20);
+        host.world.close_the_shop();
+        // As long as the longest life there is, and what comes after a move.
+        host.run(2000.0);
+        // What stays is each proxy's watch.
+        assert_eq!(host.world.links_open(), of.fleet.proxies, "links are left over");
+        assert_eq!(host.world.audit.open(), 0, "calls are left over");
+        assert_eq!(host.open_sessions(), 0, "sessions are left over");
+    }
+}
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -115,6 +115,11 @@
         })
     }
 
+    /// The traffic types and the names, for hosts that place by a rule of their own.
+    pub fn traffic_and_names(self) -> (Vec<TrafficType>, Known) {
+        (self.traffic, self.known)
+    }
+
     /// The balancer that these settings describe, and the names its host needs.
     pub fn balancer(self, seed: u128, door: Rc<dyn Outward>) -> (Rc<Balancer>, Known) {
         let balancer = Balancer::new(
--- /dev/null
+++ b/crates/dewhead-world/src/clients.rs
@@ -0,0 +1,447 @@
+//! Clients: they come as they come, whatever becomes of those before them; they wait until their guard time, try again
+//! after pauses, stay for their life, and come again after a break or a move.
+
+use crate::chance::{Chance, Of};
+use crate::experiment::Experiment;
+use crate::serving::lines;
+use crate::world::{Bytes, ClientKey, ConnectionKey, Due, Far, How, LinkKey, Parcel, World};
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Stage {
+    /// Between two tries.
+    Away,
+    Calling,
+    Standing,
+}
+
+pub(crate) struct Client {
+    pub stage: Stage,
+    pub zone: usize,
+    pub kind: usize,
+    pub shop: usize,
+    /// Its mean load while it asks anything.
+    pub load: f64,
+    hint: f64,
+    worth: f64,
+    /// When it leaves for good.
+    pub leaves: f64,
+    retries: u32,
+    pause: f64,
+    honours: bool,
+    chance: Chance,
+    key: u64,
+    /// When its call was due, and when it gives that up.
+    due: f64,
+    until: f64,
+    pub link: Option<LinkKey>,
+    call: u64,
+    is_retry: bool,
+    again: bool,
+    /// For those who stood before the start: the node.
+    at: Option<usize>,
+    /// Since when it stands, and where, for the count of what is served.
+    pub since: f64,
+    pub connection: Option<ConnectionKey>,
+    /// When it last heard a line, and how many it has sent.
+    heard: f64,
+    sent: u32,
+    line: Bytes,
+    /// Tells the timer that holds from those overtaken.
+    timer: u32,
+}
+
+/// What new clients are drawn from, and what troubles change of it.
+pub(crate) struct Clients {
+    arrivals: Chance,
+    seed: u64,
+    serial: u64,
+    calls: u64,
+    /// New clients a second in the mean.
+    rate: f64,
+    /// Multiples of it that hold now: for all, and by shop.
+    pub burst: f64,
+    pub floods: Vec<f64>,
+    /// By traffic type: the part of new clients that ask for a multiple of the usual load.
+    pub heavy: Vec<(f64, f64)>,
+    /// Whether clients still come.
+    pub open: bool,
+}
+
+/// A line that brought nothing back in this time shows a client that its connection is lost.
+const SILENT: f64 = 12.0;
+/// A client waits so much longer for an answer than it says.
+const IN_FLIGHT: f64 = 0.06;
+
+impl Clients {
+    pub(crate) fn new(of: &Experiment, seed: u64) -> Clients {
+        Clients {
+            arrivals: Chance::of(seed, Of::Arrivals, 0),
+            seed,
+            serial: 0,
+            calls: 0,
+            rate: 0.0,
+            burst: 1.0,
+            floods: vec![1.0; of.shops.len()],
+            heavy: vec![(0.0, 1.0); of.traffic.len()],
+            open: true,
+        }
+    }
+}
+
+impl World {
+    /// The load wanted, from the experiment: how many come a second, and who is there already.
+    pub(crate) fn people(&mut self, from: f64) {
+        let capacity: f64 = self.nodes.iter().map(|n| n.warm).sum();
+        let total: f64 = self.of.traffic.iter().map(|t| t.share).sum();
+        let each: f64 =
+            self.of.traffic.iter().map(|t| t.share / total * t.load * (1.0 - t.idle) * t.life).sum();
+        self.crowd.rate = self.of.load.utilisation * capacity / each.max(1e-9);
+        self.queue.put(from, Due::Arrival);
+        if !self.of.load.warm {
+            return;
+        }
+        let mut chance = Chance::of(self.seed, Of::Arrivals, 1);
+        let standing: f64 =
+            self.of.traffic.iter().map(|t| t.share / total * t.life).sum::<f64>() * self.crowd.rate;
+        let weights: Vec<f64> =
+            self.nodes.iter().map(|n| if self.of.node.weights { n.warm } else { 1.0 }).collect();
+        for _ in 0..standing.round() as usize {
+            // Who stands is who stays long: by share and life.
+            let kinds = self.of.traffic.clone();
+            let kind = chance.weighted(kinds.iter().map(|t| t.share * t.life));
+            let node = chance.weighted(weights.iter().copied());
+            let at = from + 2.0 * chance.part();
+            let zone = self.nodes[node].zone;
+            let left = kinds[kind].life * chance.gap(1.0);
+            self.newcomer(at, kind, Some((node, zone, left)));
+        }
+    }
+
+    pub(crate) fn arrival(&mut self, now: f64) {
+        if !self.crowd.open {
+            return;
+        }
+        let load = &self.of.load;
+        let swing = 1.0 + load.swing * (std::f64::consts::TAU * now / load.period).sin();
+        let shops: f64 = self.of.shops.iter().map(|s| s.share).sum();
+        let floods =
+            self.of.shops.iter().zip(&self.crowd.floods).map(|(s, f)| s.share * s.usage * f).sum::<f64>();
+        let rate = self.crowd.rate * swing * self.crowd.burst * floods / shops;
+        if rate > 0.0 {
+            let kind = self.crowd.arrivals.weighted(self.of.traffic.iter().map(|t| t.share));
+            self.newcomer(now, kind, None);
+        }
+        let gap = self.crowd.arrivals.gap(1.0 / rate.max(0.1));
+        self.queue.put(now + gap, Due::Arrival);
+    }
+
+    /// A client that is there from `now` on; `stood` tells where it stood before the start, and how long it stays.
+    fn newcomer(&mut self, now: f64, kind: usize, stood: Option<(usize, usize, f64)>) {
+        let crowd = &mut self.crowd;
+        crowd.serial += 1;
+        let mut chance = Chance::of(crowd.seed, Of::Client, crowd.serial);
+        let traffic = &self.of.traffic[kind];
+        let zones = self.of.fleet.zones.len();
+        let skew = self.of.load.zone_skew;
+        let zone = chance.weighted((0..zones).map(|z| {
+            if z == 0 {
+                1.0 + skew * (zones - 1) as f64
+            } else {
+                1.0 - skew
+            }
+        }));
+        let floods = &crowd.floods;
+        let shop =
+            chance.weighted(self.of.shops.iter().enumerate().map(|(n, s)| s.share * s.usage * floods[n]));
+        let (part, size) = crowd.heavy[kind];
+        let heavy = if chance.happens(part) { size } else { 1.0 };
+        let load = traffic.load * chance.lognormal(traffic.load_sigma) * heavy;
+        let life = (traffic.life * chance.heavy(traffic.life_shape)).max(0.5);
+        let life = stood.map_or(life, |s| s.2.max(0.5));
+        // Clients tell the load that they usually are; a surge is none of that.
+        let hint = load / heavy * chance.lognormal(self.of.clients.hint_sigma);
+        let worth = traffic.revenue * load / heavy;
+        let retries = chance.within(self.of.clients.retries).round() as u32;
+        let client = Client {
+            stage: Stage::Away,
+            zone: stood.map_or(zone, |s| s.1),
+            kind,
+            shop,
+            load,
+            hint,
+            worth,
+            leaves: now + life,
+            retries,
+            pause: chance.within(self.of.clients.pause),
+            honours: chance.happens(self.of.clients.honour),
+            key: chance.bits(),
+            chance,
+            due: now,
+            until: now + traffic.guard_time,
+            link: None,
+            call: 0,
+            is_retry: false,
+            again: false,
+            at: stood.map(|s| s.0),
+            since: 0.0,
+            connection: None,
+            heard: 0.0,
+            sent: 0,
+            line: Bytes::new(),
+            timer: 0,
+        };
+        let key = self.clients.insert(client);
+        self.queue.put(now, Due::Client(key, 0));
+        self.service.counts.clients += 1;
+    }
+
+    fn set_client(&mut self, key: ClientKey, at: f64) {
+        if let Some(client) = self.clients.get_mut(key) {
+            client.timer = client.timer.wrapping_add(1);
+            self.queue.put(at, Due::Client(key, client.timer));
+        }
+    }
+
+    pub(crate) fn client_due(&mut self, now: f64, key: ClientKey, number: u32) {
+        let Some(client) = self.clients.get_mut(key).filter(|c| c.timer == number) else { return };
+        match client.stage {
+            Stage::Away => {
+                if number == 0 {
+                    // It has come: from now until it leaves it wants to be served.
+                    let (kind, worth, leaves) = (client.kind, client.worth, client.leaves);
+                    self.service.want(now, kind, worth);
+                    self.queue.put(leaves, Due::Unwant(kind, worth));
+                }
+                self.call(now, key);
+            }
+            Stage::Calling => {
+                // Its time is up.
+                self.service.counts.unanswered += 1;
+                self.hang_up(now, key);
+                self.try_again(now, key, None);
+            }
+            Stage::Standing if now >= client.leaves => {
+                self.service.counts.ended += 1;
+                self.hang_up(now, key);
+                self.forget_client(key);
+            }
+            Stage::Standing if now - client.heard > SILENT => {
+                self.hang_up(now, key);
+                self.come_again(now, key, false);
+            }
+            Stage::Standing => {
+                let next = (now + self.of.clients.line_every).min(client.leaves);
+                if let Some(link) = client.link {
+                    client.sent += 1;
+                    let text = format!("M {}\r\n", client.sent);
+                    self.say(now, link, text.as_bytes());
+                }
+                self.set_client(key, next);
+            }
+        }
+    }
+
+    /// Calls through the front.
+    fn call(&mut self, now: f64, key: ClientKey) {
+        let client = &self.clients[key];
+        if now >= client.leaves {
+            return self.forget_client(key);
+        }
+        let (zone, kind, old) = (client.zone, client.kind, client.call);
+        self.calls.remove(&old);
+        let Some(proxy) = self.front.proxy_for(zone) else {
+            self.service.counts.unreachable += 1;
+            return self.try_again(now, key, None);
+        };
+        let latency = self.network.to_client();
+        let link = self.link(proxy, Far::Client(key), latency);
+        self.crowd.calls += 1;
+        // Odd, so that no two are the same, and none is like another.
+        let id = self.crowd.calls.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        self.calls.insert(id, key);
+        let (traffic, shop) = (&self.of.traffic[kind], &self.of.shops[self.clients[key].shop]);
+        let client = &mut self.clients[key];
+        if client.at.is_some() {
+            // What stood before the start is put back, whatever the guard time of a new call is.
+            client.until = now + 40.0;
+        }
+        let left = ((client.until - now) * 1e3).max(1.0);
+        let mut text = format!(
+            "OPEN {id:016x} {:x} c={},t={},d={left:.3},g={:x}",
+            client.key,
+            traffic.name,
+            shop.name,
+            client.key >> 8
+        );
+        if self.of.clients.hints {
+            text.push_str(&format!(",h={:.1}", client.hint * 1e6));
+        }
+        if client.is_retry {
+            text.push_str(",r=1");
+        }
+        if client.again {
+            text.push_str(",again=1");
+        }
+        if let Some(node) = client.at {
+            text.push_str(&format!(",at={}", self.node_names[node]));
+        }
+        text.push_str("\r\n");
+        (client.stage, client.link, client.call) = (Stage::Calling, Some(link), id);
+        client.line.clear();
+        let until = client.until;
+        self.service.counts.calls += 1;
+        self.proxies[proxy].connections += 1;
+        self.post(now, link, true, Parcel::Open);
+        self.say(now, link, text.as_bytes());
+        // What was answered in time may still be on its way.
+        self.set_client(key, until + IN_FLIGHT);
+    }
+
+    /// Leaves its link, whatever stands on it.
+    fn hang_up(&mut self, now: f64, key: ClientKey) {
+        let client = &mut self.clients[key];
+        let (link, connection) = (client.link.take(), client.connection.take());
+        if let Some(connection) = connection {
+            self.uncount(connection);
+        }
+        if let Some(link) = link {
+            if let Some(proxy) = self.links.get(link).map(|l| l.proxy) {
+                self.proxies[proxy].connections = self.proxies[proxy].connections.saturating_sub(1);
+            }
+            self.leave(now, link, How::Closed);
+        }
+    }
+
+    pub(crate) fn forget_client(&mut self, key: ClientKey) {
+        if let Some(client) = self.clients.remove(key) {
+            self.calls.remove(&client.call);
+        }
+    }
+
+    /// After a call that brought nothing: again after a pause, or never.
+    fn try_again(&mut self, now: f64, key: ClientKey, stay_away: Option<f64>) {
+        let client = &mut self.clients[key];
+        let told = stay_away.filter(|_| client.honours).unwrap_or(0.0);
+        let at = now + told.max(client.pause * (0.5 + client.chance.part()));
+        client.pause *= 2.0;
+        client.stage = Stage::Away;
+        // One that was told to come again later takes that as a new beginning of its waiting.
+        if told > 0.0 {
+            client.until = client.until.max(at + self.of.traffic[client.kind].guard_time / 2.0);
+        }
+        client.is_retry = true;
+        if client.retries == 0 || at >= client.until {
+            self.service.counts.lost_clients += 1;
+            return self.forget_client(key);
+        }
+        client.retries -= 1;
+        self.set_client(key, at);
+    }
+
+    /// After a break or a move: comes again soon, with its patience back.
+    pub(crate) fn come_again(&mut self, now: f64, key: ClientKey, moved: bool) {
+        if moved {
+            self.service.counts.moved += 1;
+        } else {
+            self.service.counts.broken += 1;
+        }
+        let (rejoin, retries, pause) =
+            (self.of.clients.rejoin, self.of.clients.retries, self.of.clients.pause);
+        let client = &mut self.clients[key];
+        let at = now + client.chance.within(rejoin);
+        client.stage = Stage::Away;
+        (client.again, client.is_retry, client.at) = (true, false, None);
+        client.retries = client.chance.within(retries).round() as u32;
+        client.pause = client.chance.within(pause);
+        client.due = at;
+        client.until = at + self.of.traffic[client.kind].guard_time;
+        self.set_client(key, at);
+    }
+
+    /// A standing client drops its connection, and comes again.
+    pub(crate) fn drop_client(&mut self, now: f64, key: ClientKey) {
+        if self.clients[key].stage == Stage::Standing {
+            self.hang_up(now, key);
+            self.come_again(now, key, false);
+        }
+    }
+
+    pub(crate) fn standing_clients(&self) -> Vec<ClientKey> {
+        self.clients.iter().filter(|(_, c)| c.stage == Stage::Standing).map(|(k, _)| k).collect()
+    }
+
+    pub(crate) fn client_gets(&mut self, now: f64, key: ClientKey, link: LinkKey, parcel: Parcel) {
+        if self.clients.get(key).is_none_or(|c| c.link != Some(link)) {
+            return;
+        }
+        match parcel {
+            Parcel::Bytes(bytes) => {
+                let mut said: Vec<Bytes> = Vec::new();
+                let client = &mut self.clients[key];
+                lines(&mut client.line, &bytes, |line| said.push(Bytes::from_slice(line.as_bytes())));
+                for line in said {
+                    if self.clients.get(key).is_none_or(|c| c.link != Some(link)) {
+                        return;
+                    }
+                    self.client_hears(now, key, &String::from_utf8_lossy(&line));
+                }
+            }
+            Parcel::Answer(_) => {
+                // Refused: the proxy's process is gone.
+                self.service.counts.unreachable += 1;
+                self.hang_up(now, key);
+                self.try_again(now, key, None);
+            }
+            Parcel::End(_) => {
+                let standing = self.clients[key].stage == Stage::Standing;
+                self.hang_up(now, key);
+                if standing {
+                    self.come_again(now, key, false);
+                } else {
+                    self.service.counts.failed += 1;
+                    self.try_again(now, key, None);
+                }
+            }
+            Parcel::Open => {}
+        }
+    }
+
+    fn client_hears(&mut self, now: f64, key: ClientKey, line: &str) {
+        let mut words = line.split(' ');
+        let word = words.next().unwrap_or("");
+        let client = &mut self.clients[key];
+        client.heard = now;
+        match (client.stage, word) {
+            (Stage::Calling, "UP") => {
+                client.stage = Stage::Standing;
+                client.since = now;
+                let (kind, due, worth, leaves) = (client.kind, client.due, client.worth, client.leaves);
+                let fresh = client.at.is_none();
+                let connection = self.count_standing(words.next().unwrap_or(""), worth);
+                self.clients[key].connection = connection;
+                self.service.counts.completed += 1;
+                if fresh {
+                    self.service.set_up(kind, now - due, self.of.traffic[kind].setup_target);
+                }
+                let first = self.of.clients.line_every * self.clients[key].chance.part();
+                self.set_client(key, (now + first).min(leaves));
+            }
+            (Stage::Calling, "BUSY") => {
+                let stay_away = words.next().and_then(|ms| ms.parse::<f64>().ok()).map(|ms| ms / 1e3);
+                self.service.counts.rejected += 1;
+                self.hang_up(now, key);
+                self.try_again(now, key, stay_away);
+            }
+            (Stage::Calling, _) => {
+                self.service.counts.failed += 1;
+                self.hang_up(now, key);
+                self.try_again(now, key, None);
+            }
+            (Stage::Standing, "MOVE") => {
+                self.hang_up(now, key);
+                self.come_again(now, key, true);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewhead-world/src/discovery.rs
@@ -0,0 +1,299 @@
+//! Discovery: what it holds of the nodes, some seconds late, and an agent on each proxy's machine that writes the watch.
+
+use crate::chance::Chance;
+use crate::experiment::{Experiment, Range};
+use crate::nodes::{Node, State};
+use crate::world::{Bytes, Due, Effect, How, LinkKey, Parcel, World};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Health {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    health: Health,
+    started: f64,
+    /// The version that brought this.
+    changed: u64,
+}
+
+/// A change on its way to discovery, then on its way to the agents.
+#[derive(Clone, Debug)]
+struct Change {
+    node: usize,
+    health: Health,
+    started: f64,
+}
+
+pub(crate) struct Agent {
+    version: u64,
+    entries: Vec<Entry>,
+    /// The watch that is open, and the version written on it last.
+    pub watch: Option<LinkKey>,
+    written: u64,
+    line: Bytes,
+    /// The so-many-th of its addresses is the one that answers.
+    pub address: usize,
+    pub silent: bool,
+    /// What versions are told less by, since a restart that counts anew.
+    offset: u64,
+}
+
+pub(crate) struct Discovery {
+    chance: Chance,
+    /// Changes by their numbers, until discovery has them; then by version, for the agents.
+    coming: BTreeMap<u64, Change>,
+    changes: u64,
+    versions: Vec<Change>,
+    pub agents: Vec<Agent>,
+    /// How much later than usual everything is known.
+    pub late: f64,
+    shares: Vec<(String, usize, u64, f64)>,
+    zones: Vec<String>,
+    /// Unix time at the start.
+    pub epoch: f64,
+    /// By proxy and node: where that proxy reaches that node.
+    pub addresses: Vec<Vec<String>>,
+}
+
+/// An empty line comes this often while nothing changes.
+const BEAT: f64 = 2.0;
+/// Unix time, in seconds, at the start of an experiment in simulated time.
+pub const EPOCH: f64 = 1e6;
+
+impl Discovery {
+    pub(crate) fn new<C>(
+        of: &Experiment,
+        nodes: &[Node<C>],
+        names: &[String],
+        proxies: usize,
+        chance: Chance,
+    ) -> Discovery {
+        let entry = Entry { health: Health::Ready, started: f64::NEG_INFINITY, changed: 1 };
+        let mean = nodes.iter().map(|n| n.warm).sum::<f64>() / nodes.len().max(1) as f64;
+        let share = |n: &Node<C>| if of.node.weights { (n.warm / mean * 100.0).round() / 100.0 } else { 1.0 };
+        Discovery {
+            chance,
+            coming: BTreeMap::new(),
+            changes: 0,
+            versions: Vec::new(),
+            agents: (0..proxies)
+                .map(|_| Agent {
+                    version: 1,
+                    entries: vec![entry.clone(); nodes.len()],
+                    watch: None,
+                    written: 0,
+                    line: Bytes::new(),
+                    address: 0,
+                    silent: false,
+                    offset: 0,
+                })
+                .collect(),
+            late: 0.0,
+            shares: nodes
+                .iter()
+                .zip(names)
+                .map(|(n, name)| (name.clone(), n.zone, n.cell, share(n)))
+                .collect(),
+            zones: of.fleet.zones.clone(),
+            epoch: EPOCH,
+            addresses: vec![vec![String::new(); nodes.len()]; proxies],
+        }
+    }
+
+    fn listing(&self, agent: usize, whole: bool, since: u64) -> Value {
+        let agent_number = agent;
+        let agent = &self.agents[agent];
+        let hosts: Vec<Value> = agent
+            .entries
+            .iter()
+            .enumerate()
+            .filter(|(_, e)| if whole { e.health != Health::Gone } else { e.changed > since })
+            .map(|(n, e)| {
+                let (name, zone, cell, share) = &self.shares[n];
+                let health = match e.health {
+                    Health::Ready => "ready",
+                    Health::Draining => "draining",
+                    Health::Gone => "gone",
+                };
+                let born = if e.started.is_finite() { ((self.epoch + e.started) * 1e3).round() } else { 0.0 };
+                json!({"host": name, "dial": self.addresses[agent_number][n], "site": self.zones[*zone], "class": "node",
+                       "block": cell, "health": health, "share": share, "born_ms": born as u64})
+            })
+            .collect();
+        json!({"seq": agent.version - agent.offset, "whole": whole, "hosts": hosts})
+    }
+
+    /// The list as this proxy last had it.
+    pub(crate) fn remembered(&self, proxy: usize) -> Value {
+        self.listing(proxy, true, 0)
+    }
+}
+
+impl World {
+    /// What has become of a node gets to discovery after a while.
+    pub(crate) fn change_listing(&mut self, now: f64, node: usize, after: Range) {
+        let (state, started) = (self.nodes[node].state, self.nodes[node].started);
+        let health = match state {
+            State::Up => Health::Ready,
+            State::Draining => Health::Draining,
+            State::Dead | State::Silent => Health::Gone,
+        };
+        let discovery = &mut self.discovery;
+        discovery.changes += 1;
+        discovery.coming.insert(discovery.changes, Change { node, health, started });
+        let at = now + discovery.chance.within(after) + discovery.late;
+        self.queue.put(at, Due::Listed(discovery.changes));
+    }
+
+    /// Discovery has it, unless a newer state of that node has overtaken it.
+    pub(crate) fn listed(&mut self, now: f64, number: u64) {
+        let discovery = &mut self.discovery;
+        let Some(change) = discovery.coming.remove(&number) else { return };
+        // What became of the same node earlier, and is still on its way, is overtaken.
+        discovery.coming.retain(|n, c| *n > number || c.node != change.node);
+        discovery.versions.push(change);
+        let version = discovery.versions.len() as u64 + 1;
+        for agent in 0..discovery.agents.len() {
+            let at = now + self.of.discovery.spread * discovery.chance.part();
+            self.queue.put(at, Due::Agent(agent, version));
+        }
+    }
+
+    pub(crate) fn agent_hears(&mut self, now: f64, n: usize, version: u64) {
+        let discovery = &mut self.discovery;
+        let agent = &mut discovery.agents[n];
+        for v in agent.version + 1..=version {
+            let change = &discovery.versions[v as usize - 2];
+            agent.entries[change.node] = Entry { health: change.health, started: change.started, changed: v };
+            self.audit.agent_has(now, n, change.node, change.health == Health::Ready, change.started);
+        }
+        agent.version = agent.version.max(version);
+        self.write_watch(now, n);
+    }
+
+    /// Writes what the watch has not had yet.
+    pub(crate) fn write_watch(&mut self, now: f64, n: usize) {
+        let agent = &self.discovery.agents[n];
+        let Some(link) = agent.watch.filter(|_| !agent.silent && agent.written < agent.version) else {
+            return;
+        };
+        let list = self.discovery.listing(n, false, agent.written);
+        self.discovery.agents[n].written = self.discovery.agents[n].version;
+        self.chunk(now, link, &format!("{list}\n"));
+    }
+
+    fn chunk(&mut self, now: f64, link: LinkKey, text: &str) {
+        self.say(now, link, format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+    }
+
+    pub(crate) fn beat(&mut self, now: f64, n: usize, link: LinkKey) {
+        if self.discovery.agents[n].watch != Some(link) {
+            return;
+        }
+        if !self.discovery.agents[n].silent {
+            self.chunk(now, link, "\n");
+        }
+        self.queue.put(now + BEAT, Due::Beat(n, link));
+    }
+
+    /// `at` names the proxy's agent by the address that was dialled: the proxy's own, of the so-many-th generation.
+    pub(crate) fn agent_gets(&mut self, now: f64, at: usize, key: LinkKey, parcel: Parcel) {
+        let n = self.links[key].proxy;
+        match parcel {
+            Parcel::Open => {
+                // The old address takes no new connection once there is another.
+                let answers = self.discovery.agents[n].address == at;
+                self.post(now, key, true, Parcel::Answer(answers));
+            }
+            Parcel::Bytes(bytes) => {
+                let agent = &mut self.discovery.agents[n];
+                if agent.silent {
+                    return;
+                }
+                agent.line.extend_from_slice(&bytes);
+                let asked = String::from_utf8_lossy(&agent.line).into_owned();
+                if !asked.contains("\r\n\r\n") {
+                    return;
+                }
+                agent.line.clear();
+                let since = asked
+                    .split("since=")
+                    .nth(1)
+                    .and_then(|s| s.split([' ', '&']).next()?.parse::<u64>().ok());
+                let since = since.unwrap_or(0);
+                let told = agent.version - agent.offset;
+                // A version that was never told, or none: the whole list.
+                let whole = since == 0 || since > told;
+                let list = self.discovery.listing(n, whole, since + self.discovery.agents[n].offset);
+                let agent = &mut self.discovery.agents[n];
+                (agent.watch, agent.written) = (Some(key), agent.version);
+                self.say(now, key, b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+                self.chunk(now, key, &format!("{list}\n"));
+                self.queue.put(now + BEAT, Due::Beat(n, key));
+            }
+            Parcel::End(_) => {
+                self.agent_closes(now, n, key);
+            }
+            Parcel::Answer(_) => {}
+        }
+    }
+
+    pub(crate) fn agent_closes(&mut self, now: f64, n: usize, key: LinkKey) {
+        let agent = &mut self.discovery.agents[n];
+        if agent.watch == Some(key) {
+            agent.watch = None;
+        }
+        self.leave(now, key, How::Closed);
+    }
+
+    /// Discovery starts anew and counts its versions from one again; its watches end.
+    pub(crate) fn discovery_restarts(&mut self, now: f64) {
+        self.service.mark(now, "discovery starts anew".into());
+        for n in 0..self.discovery.agents.len() {
+            let agent = &mut self.discovery.agents[n];
+            agent.offset = agent.version - 1;
+            if let Some(link) = agent.watch.take() {
+                self.leave(now, link, How::Closed);
+            }
+        }
+    }
+
+    /// The proxy's configuration names another address of discovery; the old one closes what is open a little later.
+    pub(crate) fn move_discovery(&mut self, now: f64, proxy: usize) {
+        let agent = &mut self.discovery.agents[proxy];
+        agent.address += 1;
+        let address = agent.address;
+        if let Some(link) = agent.watch {
+            self.queue.put(now + 1.5, Due::AgentCloses(proxy, link));
+        }
+        self.service.mark(now, format!("proxy {proxy} is configured anew"));
+        if self.proxies[proxy].up {
+            self.ask(Effect::Renew(proxy, address));
+        }
+    }
+
+    /// Tells the Unix time at which the experiment begins, on hosts that live by the clock.
+    pub fn begins_at(&mut self, epoch: f64) {
+        self.discovery.epoch = epoch;
+    }
+
+    /// Tells where each proxy reaches each node; hosts choose the addresses.
+    pub fn address_nodes(&mut self, address: impl Fn(usize, usize) -> String) {
+        for (p, row) in self.discovery.addresses.iter_mut().enumerate() {
+            for (n, one) in row.iter_mut().enumerate() {
+                *one = address(p, n);
+            }
+        }
+    }
+
+    /// Which of its addresses discovery has for this proxy now.
+    pub fn discovery_address(&self, proxy: usize) -> usize {
+        self.discovery.agents[proxy].address
+    }
+}
--- /dev/null
+++ b/crates/dewhead-world/src/service.rs
@@ -0,0 +1,161 @@
+//! What clients asked for and what they got: revenue by the second, set-up times, and what became of calls.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// A rate that changes now and then, summed up by the second.
+#[derive(Default)]
+struct Meter {
+    rate: f64,
+    at: f64,
+    seconds: Vec<f64>,
+}
+
+impl Meter {
+    fn set(&mut self, now: f64, rate: f64) {
+        self.flow(now);
+        self.rate = rate;
+    }
+
+    fn flow(&mut self, now: f64) {
+        while self.at < now {
+            let second = self.at.floor() as usize;
+            let end = (second as f64 + 1.0).min(now);
+            if self.seconds.len() <= second {
+                self.seconds.resize(second + 1, 0.0);
+            }
+            self.seconds[second] += self.rate * (end - self.at);
+            self.at = end;
+        }
+    }
+}
+
+/// How calls ended, and what else is counted.
+#[derive(Clone, Default, Debug, Serialize)]
+pub struct Counts {
+    /// Clients that came, and calls that they made.
+    pub clients: u64,
+    pub calls: u64,
+    pub completed: u64,
+    pub rejected: u64,
+    pub failed: u64,
+    /// No answer when the client's time was up, and no proxy reached.
+    pub unanswered: u64,
+    pub unreachable: u64,
+    /// Clients that tried no more.
+    pub lost_clients: u64,
+    /// Standing connections told to move, broken, ended by their client.
+    pub moved: u64,
+    pub broken: u64,
+    pub ended: u64,
+    pub legs: u64,
+    pub crossing_legs: u64,
+    pub late_set_ups: u64,
+    pub nodes_fallen: u64,
+    pub bad_clients: u64,
+    pub bad_left: u64,
+}
+
+pub struct Service {
+    kinds: usize,
+    wanted: Vec<Meter>,
+    served: Vec<Meter>,
+    pub set_ups: Vec<Histogram<u64>>,
+    pub counts: Counts,
+    /// By the second: load, capacity and connections of each node; connections of each proxy; moves and restarts.
+    pub nodes: Vec<Vec<(f32, f32, u32)>>,
+    pub proxies: Vec<Vec<u32>>,
+    pub marks: Vec<(f64, String)>,
+}
+
+/// What a run comes to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Revenue served well over revenue asked for.
+    pub service: f64,
+    /// The same in the worst ten seconds, and of the worst traffic type.
+    pub worst_ten: f64,
+    pub worst_type: f64,
+    pub by_type: Vec<f64>,
+    /// Set-up times in seconds: median, 99 and 99.9 in a hundred.
+    pub set_up: [f64; 3],
+    pub counts: Counts,
+    /// Revenue wanted and served, by the second.
+    pub wanted: Vec<f64>,
+    pub served: Vec<f64>,
+}
+
+impl Service {
+    pub fn new(kinds: usize, nodes: usize, proxies: usize) -> Service {
+        let histogram = || Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are sound");
+        Service {
+            kinds,
+            wanted: (0..kinds).map(|_| Meter::default()).collect(),
+            served: (0..kinds).map(|_| Meter::default()).collect(),
+            set_ups: (0..kinds).map(|_| histogram()).collect(),
+            counts: Counts::default(),
+            nodes: vec![Vec::new(); nodes],
+            proxies: vec![Vec::new(); proxies],
+            marks: Vec::new(),
+        }
+    }
+
+    /// A client wants service of this worth from now on, or no longer.
+    pub fn want(&mut self, now: f64, kind: usize, worth: f64) {
+        let rate = self.wanted[kind].rate + worth;
+        self.wanted[kind].set(now, rate);
+    }
+
+    /// What is served well from now on, by traffic type.
+    pub fn serve(&mut self, now: f64, rates: &[f64]) {
+        for (meter, rate) in self.served.iter_mut().zip(rates) {
+            meter.set(now, *rate);
+        }
+    }
+
+    pub fn set_up(&mut self, kind: usize, took: f64, target: f64) {
+        self.set_ups[kind].saturating_record((took * 1e6).max(1.0) as u64);
+        if took > target {
+            self.counts.late_set_ups += 1;
+        }
+    }
+
+    pub fn mark(&mut self, now: f64, what: String) {
+        // Told for the reader of a report, who reads a few dozen at the most.
+        if self.marks.len() < 500 {
+            self.marks.push((now, what));
+        }
+    }
+
+    /// Sums up what lies between two times.
+    pub fn outcome(&mut self, from: f64, to: f64) -> Outcome {
+        self.wanted.iter_mut().chain(&mut self.served).for_each(|m| m.flow(to));
+        let (from, to) = (from.ceil() as usize, to.floor() as usize);
+        let sum =
+            |meter: &Meter, from: usize, to: usize| meter.seconds.iter().take(to).skip(from).sum::<f64>();
+        let share = |served: f64, wanted: f64| if wanted > 0.0 { (served / wanted).min(1.0) } else { 1.0 };
+        let both = |kinds: std::ops::Range<usize>, from, to| {
+            let served: f64 = self.served[kinds.clone()].iter().map(|m| sum(m, from, to)).sum();
+            let wanted: f64 = self.wanted[kinds].iter().map(|m| sum(m, from, to)).sum();
+            share(served, wanted)
+        };
+        let by_type: Vec<f64> = (0..self.kinds).map(|k| both(k..k + 1, from, to)).collect();
+        let windows = from..=to.saturating_sub(10).max(from);
+        let mut all = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("the bounds are sound");
+        for one in &self.set_ups {
+            all.add(one).expect("they have the same bounds");
+        }
+        let at = |part: f64| all.value_at_quantile(part) as f64 / 1e6;
+        let second = |meters: &[Meter], s: usize| meters.iter().map(|m| sum(m, s, s + 1)).sum::<f64>();
+        Outcome {
+            service: both(0..self.kinds, from, to),
+            worst_ten: windows.map(|w| both(0..self.kinds, w, (w + 10).min(to))).fold(1.0, f64::min),
+            worst_type: by_type.iter().copied().fold(1.0, f64::min),
+            by_type,
+            set_up: [at(0.5), at(0.99), at(0.999)],
+            counts: self.counts.clone(),
+            wanted: (0..to).map(|s| second(&self.wanted, s)).collect(),
+            served: (0..to).map(|s| second(&self.served, s)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewhead-world/src/serving.rs
@@ -0,0 +1,349 @@
+//! The nodes' side of connections: heads read, set-ups begun and done, lines said back, loads told, drains, deaths.
+
+use crate::clients::Stage;
+use crate::nodes::State;
+use crate::world::{Bytes, ClientKey, ConnectionKey, Due, Effect, Far, How, LinkKey, Parcel, World};
+use slotmap::{Key, KeyData};
+
+/// A connection as its node has it.
+pub(crate) struct Connection {
+    pub link: LinkKey,
+    pub node: usize,
+    pub proxy: usize,
+    /// Whose it is, once its first line has been read.
+    pub client: Option<ClientKey>,
+    pub kind: usize,
+    pub load: f64,
+    pub up: bool,
+    /// Whether it counts as served at its node, and with what worth.
+    pub counted: Option<f64>,
+    /// A line that is not whole yet.
+    pub line: Bytes,
+}
+
+/// The word in a list of names and values that stands behind this name.
+pub(crate) fn value<'a>(list: &'a str, name: &str) -> Option<&'a str> {
+    list.split(',').find_map(|pair| pair.split_once('=').filter(|(n, _)| *n == name).map(|(_, v)| v))
+}
+
+/// Takes whole lines off the front of what has come.
+pub(crate) fn lines(kept: &mut Bytes, bytes: &[u8], mut seen: impl FnMut(&str)) {
+    kept.extend_from_slice(bytes);
+    let mut start = 0;
+    while let Some(end) = kept[start..].iter().position(|b| *b == b'\n') {
+        let line = &kept[start..start + end];
+        seen(std::str::from_utf8(line).unwrap_or("").trim_end_matches('\r'));
+        start += end + 1;
+    }
+    kept.drain(..start);
+}
+
+impl World {
+    pub(crate) fn node_gets(
+        &mut self,
+        now: f64,
+        node: usize,
+        at: Option<ConnectionKey>,
+        key: LinkKey,
+        parcel: Parcel,
+    ) {
+        match parcel {
+            Parcel::Open => match self.nodes[node].state {
+                State::Dead => {
+                    self.post(now, key, true, Parcel::Answer(false));
+                }
+                State::Silent => {}
+                State::Up | State::Draining => {
+                    let proxy = self.links[key].proxy;
+                    let connection = self.connections.insert(Connection {
+                        link: key,
+                        node,
+                        proxy,
+                        client: None,
+                        kind: 0,
+                        load: 0.0,
+                        up: false,
+                        counted: None,
+                        line: Bytes::new(),
+                    });
+                    self.links[key].far = Far::Node(node, Some(connection));
+                    self.nodes[node].held += 1;
+                    self.post(now, key, true, Parcel::Answer(true));
+                }
+            },
+            Parcel::Bytes(bytes) => {
+                let Some(connection) = at else { return };
+                let Some(one) = self.connections.get_mut(connection) else { return };
+                let mut said: Vec<String> = Vec::new();
+                if one.up {
+                    // Every line is said back, in the node's own time.
+                    if self.of.node.echoes_at_once {
+                        self.post(now, key, true, Parcel::Bytes(bytes));
+                    } else {
+                        let late = self.nodes[node].delay(now);
+                        self.post(now + late, key, true, Parcel::Bytes(bytes));
+                    }
+                    return;
+                }
+                lines(&mut one.line, &bytes, |line| said.push(line.to_owned()));
+                if let Some(head) = said.first() {
+                    let head = head.clone();
+                    self.asked(now, connection, &head);
+                }
+            }
+            Parcel::End(_) => match at {
+                Some(connection) => self.drop_connection(now, connection, How::Closed),
+                None => self.leave(now, key, How::Closed),
+            },
+            Parcel::Answer(_) => {}
+        }
+    }
+
+    /// A first line has come.
+    fn asked(&mut self, now: f64, key: ConnectionKey, head: &str) {
+        let node = self.connections[key].node;
+        let link = self.connections[key].link;
+        let refuse = |world: &mut World, text: &[u8]| {
+            world.say(now, link, text);
+            world.drop_connection(now, key, How::Closed);
+        };
+        let mut words = head.split(' ');
+        let id = match (words.next(), words.next().map(|id| u64::from_str_radix(id, 16))) {
+            (Some("OPEN"), Some(Ok(id))) => id,
+            _ => return refuse(self, b"SYNTAX\r\n"),
+        };
+        let list = words.nth(1).unwrap_or("");
+        let client = self.calls.get(&id).copied();
+        let Some(client) = client.filter(|c| self.clients.contains_key(*c)) else {
+            // Its client has gone meanwhile; there is nobody to serve.
+            return refuse(self, b"BUSY\r\n");
+        };
+        let again = value(list, "at").is_some_and(|name| name == self.node_names[node]);
+        let (kind, load) = (self.clients[client].kind, self.clients[client].load);
+        let one = &mut self.connections[key];
+        (one.client, one.kind) = (Some(client), kind);
+        let proxy = one.proxy;
+        self.service.counts.legs += 1;
+        if self.proxies[proxy].zone != self.nodes[node].zone {
+            self.service.counts.crossing_legs += 1;
+        }
+        if self.nodes[node].is_cold(now) {
+            self.nodes[node].brought.push_back((now, proxy, load));
+        }
+        if again && self.nodes[node].state == State::Up {
+            return self.set_up_done(now, key);
+        }
+        if self.nodes[node].state == State::Draining {
+            return refuse(self, b"BUSY\r\n");
+        }
+        let errors = self.nodes[node].errors;
+        if errors > 0.0 && self.node_chance.happens(errors) {
+            return refuse(self, b"ERR\r\n");
+        }
+        let full = self.nodes[node].held > self.nodes[node].most;
+        self.nodes[node].advance(now);
+        if full || self.nodes[node].delay(now) > self.of.node.longest_queue {
+            return refuse(self, b"BUSY\r\n");
+        }
+        // Set-up work differs from one to the next.
+        let work = self.of.node.set_up_work * (0.5 + self.node_chance.part());
+        self.nodes[node].set_up(now, work, key);
+        self.guess_set_up(now, node);
+    }
+
+    /// Reckons anew when the next set-up is done.
+    pub(crate) fn guess_set_up(&mut self, now: f64, node: usize) {
+        if let Some(at) = self.nodes[node].next_set_up() {
+            self.guesses[node] = self.guesses[node].wrapping_add(1);
+            self.queue.put(at.max(now), Due::SetUp(node, self.guesses[node]));
+        }
+    }
+
+    pub(crate) fn set_up_due(&mut self, now: f64, node: usize, guess: u32) {
+        if self.guesses[node] != guess {
+            return;
+        }
+        while let Some(key) = self.nodes[node].done(now) {
+            if self.connections.get(key).is_some_and(|c| c.node == node) {
+                self.set_up_done(now, key);
+            }
+        }
+        self.guess_set_up(now, node);
+    }
+
+    fn set_up_done(&mut self, now: f64, key: ConnectionKey) {
+        let one = &mut self.connections[key];
+        let (link, node, kind) = (one.link, one.node, one.kind);
+        let load = one.client.and_then(|c| self.clients.get(c)).map_or(0.0, |c| c.load);
+        one.up = true;
+        one.load = load;
+        // The first line's place is given back; no later line is read.
+        one.line = Bytes::new();
+        self.nodes[node].change(now, load);
+        let mut text = format!("UP {:x}\r\n", key.data().as_ffi());
+        if self.of.node.tells_load {
+            text.push_str(&format!("LOAD {}\r\n", (load * 1e6).round()));
+        }
+        self.say(now, link, text.as_bytes());
+        let gap = self.node_chance.gap(self.of.traffic[kind].change);
+        self.queue.put(now + gap, Due::LoadChange(key));
+    }
+
+    pub(crate) fn load_changes(&mut self, now: f64, key: ConnectionKey) {
+        let Some(one) = self.connections.get(key) else { return };
+        let (link, node, kind, before) = (one.link, one.node, one.kind, one.load);
+        let base = one.client.and_then(|c| self.clients.get(c)).map_or(before, |c| c.load);
+        let traffic = &self.of.traffic[kind];
+        let load = if self.node_chance.happens(traffic.idle) {
+            0.0
+        } else {
+            base * self.node_chance.lognormal(traffic.swing_sigma)
+        };
+        let gap = self.node_chance.gap(traffic.change);
+        self.connections[key].load = load;
+        self.nodes[node].change(now, load - before);
+        if self.of.node.tells_load {
+            self.say(now, link, format!("LOAD {}\r\n", (load * 1e6).round()).as_bytes());
+        }
+        self.queue.put(now + gap, Due::LoadChange(key));
+    }
+
+    /// A client has been told that it stands: from now on it counts where it stands.
+    pub(crate) fn count_standing(&mut self, receipt: &str, worth: f64) -> Option<ConnectionKey> {
+        let key = ConnectionKey::from(KeyData::from_ffi(u64::from_str_radix(receipt, 16).ok()?));
+        let one = self.connections.get_mut(key)?;
+        one.counted = Some(worth);
+        let (node, kind) = (one.node, one.kind);
+        self.nodes[node].count(kind, worth);
+        Some(key)
+    }
+
+    /// And no longer, whoever finds out first.
+    pub(crate) fn uncount(&mut self, key: ConnectionKey) {
+        if let Some(one) = self.connections.get_mut(key) {
+            if let Some(worth) = one.counted.take() {
+                let (node, kind) = (one.node, one.kind);
+                self.nodes[node].count(kind, -worth);
+            }
+        }
+    }
+
+    /// The node has nothing more to do with a connection.
+    pub(crate) fn drop_connection(&mut self, now: f64, key: ConnectionKey, how: How) {
+        self.uncount(key);
+        let Some(one) = self.connections.remove(key) else { return };
+        let node = &mut self.nodes[one.node];
+        if node.held > 0 {
+            node.held -= 1;
+        }
+        if one.up {
+            node.change(now, -one.load);
+        }
+        self.leave(now, one.link, how);
+    }
+
+    pub(crate) fn at_node(&self, node: usize) -> Vec<ConnectionKey> {
+        self.connections.iter().filter(|(_, c)| c.node == node).map(|(k, _)| k).collect()
+    }
+
+    /// A drain: nothing new, and all who stand are sent away.
+    pub(crate) fn drain(&mut self, now: f64, node: usize) {
+        self.nodes[node].state = State::Draining;
+        self.service.mark(now, format!("node {node} drains"));
+        self.change_listing(now, node, self.of.discovery.add);
+        let spread = self.of.node.drain_spread;
+        for key in self.at_node(node) {
+            if self.connections[key].up {
+                let at = now + spread * self.node_chance.part();
+                self.queue.put(at, Due::SendAway(key));
+            }
+        }
+    }
+
+    pub(crate) fn send_away(&mut self, now: f64, key: ConnectionKey) {
+        if let Some(one) = self.connections.get(key) {
+            self.say(now, one.link, b"MOVE\r\n");
+            self.drop_connection(now, key, How::Closed);
+        }
+    }
+
+    /// The process dies: its connections are reset, new ones refused.
+    pub(crate) fn kill_node(&mut self, now: f64, node: usize) {
+        self.service.mark(now, format!("node {node} dies"));
+        for key in self.at_node(node) {
+            self.drop_connection(now, key, How::Broken);
+        }
+        self.nodes[node].forget(now);
+        self.nodes[node].state = State::Dead;
+        self.change_listing(now, node, self.of.discovery.notice);
+    }
+
+    /// The machine vanishes: nothing comes back, and nobody is told.
+    pub(crate) fn silence_node(&mut self, now: f64, node: usize) {
+        self.service.mark(now, format!("node {node} goes silent"));
+        for key in self.at_node(node) {
+            self.uncount(key);
+        }
+        self.nodes[node].state = State::Silent;
+        self.change_listing(now, node, self.of.discovery.silent_notice);
+    }
+
+    /// A process starts, cold; what an earlier one left open is reset.
+    pub(crate) fn start_node(&mut self, now: f64, node: usize) {
+        self.service.mark(now, format!("node {node} starts"));
+        // Back on the network first, so that the resets get through.
+        self.nodes[node].state = State::Up;
+        for key in self.at_node(node) {
+            self.drop_connection(now, key, How::Broken);
+        }
+        self.nodes[node].start(now);
+        self.change_listing(now, node, self.of.discovery.add);
+    }
+
+    pub(crate) fn fall_over(&mut self, now: f64, node: usize) {
+        self.service.counts.nodes_fallen += 1;
+        let brought: Vec<(f64, usize, f64)> = self.nodes[node].brought.iter().copied().collect();
+        self.audit.fell(now, node, self.nodes[node].started, &brought);
+        self.kill_node(now, node);
+        self.service.mark(now, format!("node {node} has fallen over"));
+    }
+
+    /// A node far behind with its work breaks off its newest connections until it can keep up.
+    pub(crate) fn shed(&mut self, now: f64, node: usize) {
+        let from = self.of.node.sheds_from;
+        if from <= 0.0 || self.nodes[node].delay(now) < from {
+            return;
+        }
+        let mut standing = self.at_node(node);
+        standing.retain(|k| self.connections[*k].up);
+        // Slots are used again, so that the newest are told by when their clients were placed.
+        let since = |k: &ConnectionKey| {
+            let client = self.connections[*k].client.and_then(|c| self.clients.get(c));
+            client.map_or(0.0, |c| if c.stage == Stage::Standing { c.since } else { now })
+        };
+        standing.sort_by(|a, b| since(b).total_cmp(&since(a)).then(a.cmp(b)));
+        let able = self.nodes[node].capacity(now);
+        // A twentieth at a time, so that what is asked falls before more are broken off.
+        for key in standing.iter().take(standing.len().div_ceil(20)) {
+            if self.nodes[node].load() <= able {
+                break;
+            }
+            self.drop_connection(now, *key, How::Broken);
+        }
+    }
+
+    /// A process gets a signal.
+    pub(crate) fn signal(&mut self, now: f64, proxy: usize, signal: crate::world::Signal) {
+        if self.proxies[proxy].up {
+            if signal == crate::world::Signal::Stop {
+                self.proxies[proxy].stopping = true;
+                self.front_stops(now, proxy);
+            }
+            if signal == crate::world::Signal::Kill {
+                self.audit.killed(proxy);
+            }
+            self.service.mark(now, format!("proxy {proxy} gets {signal:?}"));
+            self.ask(Effect::Signal(proxy, signal));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewhead-world/src/troubles/bad_clients.rs
@@ -0,0 +1,89 @@
+//! Clients that send what can't be read, say nothing, or never end a line. Each is owed an error or a close.
+
+use super::Kind;
+use crate::experiment::Trouble;
+use crate::world::{Far, How, LinkKey, Parcel, World};
+
+pub const KIND: Kind = Kind {
+    name: "bad-clients",
+    about: "'size' clients a second, over 'lasts' seconds, send what can't be read",
+    act,
+};
+
+/// One is owed an end within this.
+const OWED: f64 = 3.0;
+/// They come in groups, this often.
+const EVERY: f64 = 0.1;
+
+struct Bad {
+    link: LinkKey,
+    since: f64,
+}
+
+/// Those who have had no end yet; one leaves with its end, or once it is counted as left.
+#[derive(Default)]
+pub struct Crowd(Vec<Bad>);
+
+/// What they say, by turns.
+fn words(n: usize, call: u64) -> Vec<u8> {
+    match n % 8 {
+        0 => b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        1 => vec![b'x'; 20_000],
+        2 => b"OPEN 9b1f03aa5c7e2d41 7f c=none,t=none,d=2000\r\n".to_vec(),
+        3 => b"OPEN 9b1f03aa5c7e2d41 7f c=menus,d=-1\r\n".to_vec(),
+        4 => Vec::new(),
+        5 => b"OPEN 9b1f".to_vec(),
+        6 => [0u8, 159, 146, 150, b'\r', b'\n'].repeat(50),
+        // The id of a call that somebody else has open.
+        _ => format!("OPEN {call:016x} 7f c=none,d=1e9\r\n").into_bytes(),
+    }
+}
+
+fn act(world: &mut World, now: f64, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
+    let ends = trouble.at + trouble.lasts;
+    let overdue = world.bad.0.iter().filter(|b| now - b.since > OWED + 0.1).count();
+    world.service.counts.bad_left += overdue as u64;
+    let left: Vec<LinkKey> =
+        world.bad.0.iter().filter(|b| now - b.since > OWED + 0.1).map(|b| b.link).collect();
+    world.bad.0.retain(|b| now - b.since <= OWED + 0.1);
+    for link in left {
+        world.leave(now, link, How::Closed);
+    }
+    if now < ends {
+        let many = trouble.size * EVERY;
+        let many = many.floor() as usize + usize::from(world.trouble_chance[n].happens(many.fract()));
+        for _ in 0..many {
+            let proxy = world.trouble_chance[n].place(world.proxies.len());
+            if !world.proxies[proxy].up {
+                continue;
+            }
+            let kind = world.trouble_chance[n].place(8);
+            let call = world.calls.keys().next().copied().unwrap_or(1);
+            let link = world.link(proxy, Far::Bad(stage as usize), 5e-4);
+            world.post(now, link, true, Parcel::Open);
+            let text = words(kind, call);
+            for piece in text.chunks(4096) {
+                world.say(now, link, piece);
+            }
+            world.service.counts.bad_clients += 1;
+            world.bad.0.push(Bad { link, since: now });
+        }
+    }
+    (now < ends + OWED + 0.5).then_some(now + EVERY)
+}
+
+/// It has got something: a line or an end, either will do.
+pub(crate) fn gets(world: &mut World, now: f64, _n: usize, key: LinkKey, parcel: Parcel) {
+    match parcel {
+        Parcel::Open => {}
+        Parcel::Answer(_) => {
+            world.bad.0.retain(|b| b.link != key);
+            world.links.remove(key);
+        }
+        Parcel::Bytes(_) => world.bad.0.retain(|b| b.link != key),
+        Parcel::End(_) => {
+            world.bad.0.retain(|b| b.link != key);
+            world.leave(now, key, How::Closed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewhead-world/src/troubles/discovery_silent.rs
@@ -0,0 +1,25 @@
+//! Discovery says nothing for a while; its watches stay open.
+
+use super::{choose_proxies, Kind};
+use crate::experiment::Trouble;
+use crate::world::World;
+
+pub const KIND: Kind = Kind {
+    name: "discovery-silent",
+    about: "the agents of 'part' of the proxies say nothing for 'lasts' seconds",
+    act,
+};
+
+fn act(world: &mut World, now: f64, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
+    if stage == 0 {
+        for proxy in choose_proxies(world, trouble, n) {
+            world.discovery.agents[proxy].silent = true;
+        }
+        return Some(now + trouble.lasts);
+    }
+    for proxy in world.hit.remove(&n).unwrap_or_default() {
+        world.discovery.agents[proxy].silent = false;
+        world.write_watch(now, proxy);
+    }
+    None
+}
--- /dev/null
+++ b/crates/dewhead-world/src/troubles/mod.rs
@@ -0,0 +1,116 @@
+//! Troubles: each kind is one small file, and any number can overlap. A kind acts in stages, and says after each when
+//! the next comes; stage 0 comes at the trouble's `at`.
+
+mod alone;
+pub mod bad_clients;
+mod burst;
+mod discovery_late;
+mod discovery_restart;
+mod discovery_silent;
+mod drain;
+mod fast_errors;
+mod flood;
+mod heavy_tail;
+mod neighbour;
+mod node_restart;
+mod node_silent;
+mod reconfigure;
+mod reconnect;
+mod restart_kill;
+mod restart_stop;
+mod slow_network;
+mod zone_cut;
+
+use crate::experiment::Trouble;
+use crate::world::{Due, World};
+
+pub struct Kind {
+    pub name: &'static str,
+    /// What it is, and what `part` and `size` mean for it.
+    pub about: &'static str,
+    /// (world, now, the trouble, its number, the stage) to when the next stage comes.
+    act: fn(&mut World, f64, &Trouble, usize, u32) -> Option<f64>,
+}
+
+pub const KINDS: &[Kind] = &[
+    alone::KIND,
+    bad_clients::KIND,
+    burst::KIND,
+    discovery_late::KIND,
+    discovery_restart::KIND,
+    discovery_silent::KIND,
+    drain::KIND,
+    fast_errors::KIND,
+    flood::KIND,
+    heavy_tail::KIND,
+    neighbour::KIND,
+    node_restart::KIND,
+    node_silent::KIND,
+    reconfigure::KIND,
+    reconnect::KIND,
+    restart_kill::KIND,
+    restart_stop::KIND,
+    slow_network::KIND,
+    zone_cut::KIND,
+];
+
+/// The kind of this name, or which there are.
+pub fn known(name: &str) -> Result<&'static Kind, String> {
+    KINDS.iter().find(|k| k.name == name).ok_or_else(|| {
+        let names: Vec<&str> = KINDS.iter().map(|k| k.name).collect();
+        format!("no kind '{name}'; there are {}", names.join(", "))
+    })
+}
+
+pub(crate) fn stage(world: &mut World, now: f64, n: usize, stage: u32) {
+    let trouble = world.of.troubles[n].clone();
+    let Ok(kind) = known(&trouble.kind) else { return };
+    if stage == 0 {
+        world.service.mark(now, format!("{} begins", trouble.kind));
+    }
+    if let Some(at) = (kind.act)(world, now, &trouble, n, stage) {
+        world.queue.put(at.max(now), Due::Trouble(n, stage + 1));
+    }
+}
+
+/// Chooses `part` of these by the trouble's own chance, one at the least, in their order.
+fn choose(world: &mut World, n: usize, part: f64, mut of: Vec<usize>) -> Vec<usize> {
+    let many = ((part * of.len() as f64).round() as usize).clamp(1.min(of.len()), of.len());
+    let chance = &mut world.trouble_chance[n];
+    while of.len() > many {
+        let out = chance.place(of.len());
+        of.remove(out);
+    }
+    of
+}
+
+/// The nodes that a trouble hits, remembered for its later stages.
+fn choose_nodes(world: &mut World, trouble: &Trouble, n: usize) -> Vec<usize> {
+    let zone = trouble.zone.as_ref().and_then(|z| world.of.fleet.zones.iter().position(|name| name == z));
+    let of =
+        (0..world.nodes.len()).filter(|node| zone.is_none_or(|z| world.nodes[*node].zone == z)).collect();
+    let hit = choose(world, n, trouble.part, of);
+    world.hit.insert(n, hit.clone());
+    hit
+}
+
+fn choose_proxies(world: &mut World, trouble: &Trouble, n: usize) -> Vec<usize> {
+    let zone = trouble.zone.as_ref().and_then(|z| world.of.fleet.zones.iter().position(|name| name == z));
+    let of = (0..world.proxies.len()).filter(|p| zone.is_none_or(|z| world.proxies[*p].zone == z)).collect();
+    let hit = choose(world, n, trouble.part, of);
+    world.hit.insert(n, hit.clone());
+    hit
+}
+
+/// Those whose turn it is at this stage, where they are hit some at a time.
+fn turn(world: &World, trouble: &Trouble, n: usize, stage: u32) -> Vec<usize> {
+    let all = world.hit.get(&n).map_or(&[][..], Vec::as_slice);
+    all.chunks(trouble.at_a_time).nth(stage as usize).unwrap_or(&[]).to_vec()
+}
+
+/// When the next turn comes, with all of them within the time that the trouble lasts.
+fn next_turn(world: &World, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
+    let turns = world.hit.get(&n).map_or(0, |all| all.len().div_ceil(trouble.at_a_time));
+    let next = stage as usize + 1;
+    (next < turns).then(|| trouble.at + trouble.lasts * next as f64 / turns as f64)
+}
--- /dev/null
+++ b/crates/dewhead-world/src/troubles/node_silent.rs
@@ -0,0 +1,24 @@
+//! Machines vanish without a word, and come back later with new processes.
+
+use super::{choose_nodes, Kind};
+use crate::experiment::Trouble;
+use crate::world::World;
+
+pub const KIND: Kind = Kind {
+    name: "node-silent",
+    about: "'part' of the nodes' machines vanish without a word and are back, cold, after 'lasts' seconds",
+    act,
+};
+
+fn act(world: &mut World, now: f64, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
+    if stage == 0 {
+        for node in choose_nodes(world, trouble, n) {
+            world.silence_node(now, node);
+        }
+        return Some(now + trouble.lasts);
+    }
+    for node in world.hit.remove(&n).unwrap_or_default() {
+        world.start_node(now, node);
+    }
+    None
+}
--- /dev/null
+++ b/crates/dewhead-world/src/troubles/zone_cut.rs
@@ -0,0 +1,33 @@
+//! Zones hear nothing of each other: what is open between them stays open and silent, and nothing new comes up.
+
+use super::Kind;
+use crate::experiment::Trouble;
+use crate::world::World;
+
+pub const KIND: Kind = Kind {
+    name: "zone-cut",
+    about: "the zone 'zone' (the last if not told) is cut off from all others for 'lasts' seconds",
+    act,
+};
+
+fn act(world: &mut World, now: f64, trouble: &Trouble, _n: usize, stage: u32) -> Option<f64> {
+    let zones = &world.of.fleet.zones;
+    let cut = trouble
+        .zone
+        .as_ref()
+        .and_then(|z| zones.iter().position(|name| name == z))
+        .unwrap_or(zones.len() - 1);
+    let others: Vec<usize> = (0..zones.len()).filter(|z| *z != cut).collect();
+    for other in others {
+        if stage == 0 {
+            world.network.cut(cut, other);
+        } else {
+            world.network.mend(cut, other);
+        }
+    }
+    if stage == 0 {
+        return Some(now + trouble.lasts);
+    }
+    world.release_held(now);
+    None
+}
--- /dev/null
+++ b/crates/dewhead-world/src/world.rs
@@ -0,0 +1,599 @@
+//! The world itself: links and what travels on them, the queue of what is to happen, and the doors through which a host
+//! tells what proxies do and learns what reaches them. Who stands at the far end of a link is in `clients`, `serving`,
+//! `discovery` and `front`.
+
+use crate::audit::Auditor;
+use crate::chance::{Chance, Of};
+use crate::clients::{Client, Clients};
+use crate::discovery::Discovery;
+use crate::experiment::Experiment;
+use crate::front::Front;
+use crate::network::Network;
+use crate::nodes::{Node, State};
+use crate::queue::Queue;
+use crate::service::{Outcome, Service};
+use crate::serving::Connection;
+use serde_json::Value;
+use slotmap::{new_key_type, SlotMap};
+use smallvec::SmallVec;
+use std::collections::BTreeMap;
+
+new_key_type! {
+    /// A connection between a proxy and something else in the world.
+    pub struct LinkKey;
+    pub struct ClientKey;
+    pub struct ConnectionKey;
+}
+
+/// Bytes on their way; a line mostly fits without memory of its own.
+pub type Bytes = SmallVec<[u8; 32]>;
+
+/// How one side of a link ends.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum How {
+    /// No more is sent; what comes is still read.
+    Finished,
+    Closed,
+    Broken,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Signal {
+    Stop,
+    Kill,
+}
+
+/// What a proxy dials.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Target {
+    Node(usize),
+    /// Discovery's agent of this proxy, at the so-many-th of its addresses.
+    Agent(usize),
+}
+
+/// What reaches proxies, for the host to carry out.
+#[derive(Debug)]
+pub enum Effect {
+    /// Somebody connects to this proxy.
+    Connect(LinkKey, usize),
+    /// A link that the proxy dialled has come up, or is refused.
+    Up(LinkKey),
+    Refused(LinkKey),
+    Bytes(LinkKey, Bytes),
+    End(LinkKey, How),
+    /// Start this proxy's process; it knows the list as it last had it.
+    Start(usize, Value),
+    Signal(usize, Signal),
+    /// Its configuration names another address of discovery, the so-many-th, and it gets SIGHUP.
+    Renew(usize, usize),
+}
+
+/// Who is at the far end of a link.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Far {
+    Client(ClientKey),
+    /// A client that is none, in `troubles::bad_clients`.
+    Bad(usize),
+    Front,
+    Node(usize, Option<ConnectionKey>),
+    Agent(usize),
+}
+
+/// What travels.
+#[derive(Debug)]
+pub(crate) enum Parcel {
+    Open,
+    Answer(bool),
+    Bytes(Bytes),
+    End(How),
+}
+
+pub(crate) struct Link {
+    pub proxy: usize,
+    pub far: Far,
+    pub latency: f64,
+    /// When the last thing sent arrives, by direction, so that nothing overtakes.
+    toward: f64,
+    from: f64,
+    /// Whether the proxy's side, and the far side, have nothing more to do with it.
+    proxy_gone: bool,
+    far_gone: bool,
+    /// Told to the proxy's host: from then on it knows the link.
+    shown: bool,
+}
+
+/// A proxy as the world sees it: a process that runs or not.
+pub struct Proxy {
+    pub zone: usize,
+    pub up: bool,
+    /// Processes started so far.
+    pub starts: u64,
+    pub stopping: bool,
+    pub connections: u32,
+}
+
+pub(crate) enum Due {
+    Arrival,
+    Client(ClientKey, u32),
+    Toward(LinkKey, Parcel),
+    From(LinkKey, Parcel),
+    /// A set-up at this node may be done; the number tells a newer guess from an older.
+    SetUp(usize, u32),
+    LoadChange(ConnectionKey),
+    SendAway(ConnectionKey),
+    /// What is wanted of this traffic type shrinks by that worth.
+    Unwant(usize, f64),
+    Listed(u64),
+    Agent(usize, u64),
+    Beat(usize, LinkKey),
+    AgentCloses(usize, LinkKey),
+    StartProxy(usize),
+    FrontPing(usize),
+    FrontDrops(usize, u64),
+    Trouble(usize, u32),
+    Look,
+}
+
+/// Nodes move on, and are looked at, this often.
+const LOOK: f64 = 0.1;
+/// Measuring begins once what stood before the start has been put back.
+pub const SETTLED: f64 = 6.0;
+
+pub struct World {
+    pub of: Experiment,
+    pub seed: u64,
+    pub(crate) queue: Queue<Due>,
+    pub(crate) links: SlotMap<LinkKey, Link>,
+    pub nodes: Vec<Node<ConnectionKey>>,
+    pub(crate) node_names: Vec<String>,
+    /// The number of the latest guess at the next set-up's end.
+    pub(crate) guesses: Vec<u32>,
+    pub(crate) node_chance: Chance,
+    pub(crate) connections: SlotMap<ConnectionKey, Connection>,
+    pub(crate) clients: SlotMap<ClientKey, Client>,
+    pub(crate) crowd: Clients,
+    /// Calls open, by the id they were given; one leaves with its client's next call or its client.
+    pub(crate) calls: BTreeMap<u64, ClientKey>,
+    pub proxies: Vec<Proxy>,
+    pub(crate) front: Front,
+    pub(crate) discovery: Discovery,
+    pub(crate) network: Network,
+    /// What could not cross a cut, in order; it leaves when a cut ends.
+    held: Vec<(LinkKey, bool, Parcel)>,
+    pub service: Service,
+    pub audit: Auditor,
+    pub(crate) trouble_chance: Vec<Chance>,
+    /// What troubles keep for themselves between their stages.
+    pub(crate) hit: BTreeMap<usize, Vec<usize>>,
+    pub(crate) bad: crate::troubles::bad_clients::Crowd,
+    effects: Vec<Effect>,
+    digest: crc32fast::Hasher,
+    next_look: f64,
+}
+
+impl World {
+    pub fn new(of: &Experiment, seed: u64) -> World {
+        let zones = of.fleet.zones.len();
+        let mut fleet = Chance::of(seed, Of::Fleet, 0);
+        let kinds = of.traffic.len();
+        let total: f64 = of.machines.iter().map(|m| m.share).sum();
+        let nodes: Vec<Node<ConnectionKey>> = (0..of.fleet.nodes)
+            .map(|n| {
+                // By share and in turn, so that small fleets have each kind too.
+                let mut place = (n as f64 + 0.5) / of.fleet.nodes as f64 * total;
+                let machine = of.machines.iter().find(|m| {
+                    place -= m.share;
+                    place < 0.0
+                });
+                let machine = machine.unwrap_or(&of.machines[0]);
+                let cell = (n / zones / of.fleet.cell * zones + n % zones) as u64;
+                Node::new(machine, &of.node, n % zones, cell, kinds, &mut fleet)
+            })
+            .collect();
+        let node_names: Vec<String> =
+            (0..nodes.len()).map(|_| format!("n-{:08x}", fleet.bits() as u32)).collect();
+        let proxies: Vec<Proxy> = (0..of.fleet.proxies)
+            .map(|p| Proxy { zone: p % zones, up: false, starts: 0, stopping: false, connections: 0 })
+            .collect();
+        let service = Service::new(kinds, nodes.len(), proxies.len());
+        let audit = Auditor::new(of, seed, &nodes, &node_names);
+        let discovery =
+            Discovery::new(of, &nodes, &node_names, proxies.len(), Chance::of(seed, Of::Discovery, 0));
+        let mut world = World {
+            seed,
+            queue: Queue::default(),
+            links: SlotMap::with_key(),
+            guesses: vec![0; nodes.len()],
+            nodes,
+            node_names,
+            node_chance: Chance::of(seed, Of::Node, 0),
+            connections: SlotMap::with_key(),
+            clients: SlotMap::with_key(),
+            crowd: Clients::new(of, seed),
+            calls: BTreeMap::new(),
+            front: Front::new(&proxies, zones, Chance::of(seed, Of::Front, 0)),
+            proxies,
+            discovery,
+            network: Network::new(&of.network, Chance::of(seed, Of::Network, 0)),
+            held: Vec::new(),
+            service,
+            audit,
+            trouble_chance: (0..of.troubles.len()).map(|n| Chance::of(seed, Of::Trouble, n as u64)).collect(),
+            hit: BTreeMap::new(),
+            bad: Default::default(),
+            effects: Vec::new(),
+            digest: crc32fast::Hasher::new(),
+            next_look: 0.0,
+            of: of.clone(),
+        };
+        for proxy in 0..world.proxies.len() {
+            world.start_proxy(0.0, proxy);
+        }
+        world.queue.put(0.0, Due::Look);
+        world.people(0.5);
+        for (n, trouble) in world.of.troubles.iter().enumerate() {
+            world.queue.put(trouble.at, Due::Trouble(n, 0));
+        }
+        world
+    }
+
+    /// When something happens next.
+    pub fn next_due(&self) -> Option<f64> {
+        self.queue.next()
+    }
+
+    /// Lets what is due by now happen, one thing at a time; false once nothing more is due. The effects are to be
+    /// carried out after each.
+    pub fn step(&mut self, now: f64) -> bool {
+        let Some((at, due)) = self.queue.due(now) else { return false };
+        // A host on sockets comes late; what happens then happens at its time, but for what is counted by the clock.
+        self.happen(at, due);
+        true
+    }
+
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    pub(crate) fn ask(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    fn happen(&mut self, now: f64, due: Due) {
+        match due {
+            Due::Arrival => self.arrival(now),
+            Due::Client(key, number) => self.client_due(now, key, number),
+            Due::Toward(key, parcel) => self.proxy_arrives(now, key, parcel),
+            Due::From(key, parcel) => self.far_arrives(now, key, parcel),
+            Due::SetUp(node, guess) => self.set_up_due(now, node, guess),
+            Due::LoadChange(key) => self.load_changes(now, key),
+            Due::SendAway(key) => self.send_away(now, key),
+            Due::Unwant(kind, worth) => self.service.want(now, kind, -worth),
+            Due::Listed(change) => self.listed(now, change),
+            Due::Agent(agent, version) => self.agent_hears(now, agent, version),
+            Due::Beat(agent, link) => self.beat(now, agent, link),
+            Due::AgentCloses(agent, link) => self.agent_closes(now, agent, link),
+            Due::StartProxy(proxy) => self.ask_start(now, proxy),
+            Due::FrontPing(proxy) => self.front_pings(now, proxy),
+            Due::FrontDrops(proxy, start) => self.front_drops(proxy, start),
+            Due::Trouble(n, stage) => crate::troubles::stage(self, now, n, stage),
+            Due::Look => self.look(now),
+        }
+    }
+
+    /// A regular look at all nodes: their work moves on, and who falls over, sheds or is served well is seen.
+    fn look(&mut self, now: f64) {
+        self.queue.put(now + LOOK, Due::Look);
+        let second = now >= self.next_look;
+        let mut rates = vec![0.0; self.of.traffic.len()];
+        for n in 0..self.nodes.len() {
+            self.nodes[n].advance(now);
+            if matches!(self.nodes[n].state, State::Up | State::Draining) {
+                self.guess_set_up(now, n);
+                if self.nodes[n].falls(now, &self.of.rules) {
+                    self.fall_over(now, n);
+                }
+                self.shed(now, n);
+            }
+            let node = &self.nodes[n];
+            if node.state != State::Silent {
+                let delay = node.delay(now);
+                for (kind, worth) in node.worth().iter().enumerate() {
+                    if delay <= self.of.traffic[kind].message_target {
+                        rates[kind] += worth;
+                    }
+                }
+            }
+            if second {
+                let able =
+                    if matches!(node.state, State::Dead | State::Silent) { 0.0 } else { node.capacity(now) };
+                self.service.nodes[n].push((node.load() as f32, able as f32, node.held as u32));
+            }
+        }
+        self.service.serve(now, &rates);
+        if second {
+            self.next_look = now.floor() + 1.0;
+            for (p, proxy) in self.proxies.iter().enumerate() {
+                self.service.proxies[p].push(proxy.connections);
+            }
+        }
+        self.audit.look(now);
+    }
+
+    /// Makes a link between a proxy and something of the world.
+    pub(crate) fn link(&mut self, proxy: usize, far: Far, latency: f64) -> LinkKey {
+        self.links.insert(Link {
+            proxy,
+            far,
+            latency,
+            toward: 0.0,
+            from: 0.0,
+            proxy_gone: false,
+            far_gone: false,
+            shown: false,
+        })
+    }
+
+    /// Whether a link's two ends hear nothing of each other, and whether what is sent is lost for good.
+    fn blocked(&self, link: &Link) -> Option<bool> {
+        match link.far {
+            Far::Node(node, _) if self.nodes[node].state == State::Silent => Some(true),
+            Far::Node(node, _)
+                if self.network.is_cut(self.proxies[link.proxy].zone, self.nodes[node].zone) =>
+            {
+                Some(false)
+            }
+            _ => None,
+        }
+    }
+
+    /// Sends something on a link: toward the proxy, or from it.
+    pub(crate) fn post(&mut self, now: f64, key: LinkKey, toward: bool, parcel: Parcel) {
+        let Some(link) = self.links.get(key) else { return };
+        match self.blocked(link) {
+            Some(true) => return,
+            Some(false) => {
+                // A connect that is not answered is not made later either.
+                if !matches!(parcel, Parcel::Open | Parcel::Answer(_)) {
+                    self.held.push((key, toward, parcel));
+                }
+                return;
+            }
+            None => {}
+        }
+        let takes = self.network.takes(link.latency);
+        if let Parcel::Bytes(bytes) = &parcel {
+            if let Some(at) = self.network.cut_at(bytes.len()) {
+                let (first, rest) = (Bytes::from_slice(&bytes[..at]), Bytes::from_slice(&bytes[at..]));
+                let late = self.network.takes(link.latency);
+                self.put_parcel(now, key, toward, takes, Parcel::Bytes(first));
+                return self.put_parcel(now, key, toward, takes + late, Parcel::Bytes(rest));
+            }
+        }
+        self.put_parcel(now, key, toward, takes, parcel);
+    }
+
+    fn put_parcel(&mut self, now: f64, key: LinkKey, toward: bool, takes: f64, parcel: Parcel) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        let last = if toward { &mut link.toward } else { &mut link.from };
+        let at = (now + takes).max(*last);
+        *last = at;
+        self.queue.put(at, if toward { Due::Toward(key, parcel) } else { Due::From(key, parcel) });
+    }
+
+    /// A cut has ended: what waited crosses, in its order.
+    pub(crate) fn release_held(&mut self, now: f64) {
+        for (key, toward, parcel) in std::mem::take(&mut self.held) {
+            self.post(now, key, toward, parcel);
+        }
+    }
+
+    pub(crate) fn say(&mut self, now: f64, key: LinkKey, text: &[u8]) {
+        self.post(now, key, true, Parcel::Bytes(Bytes::from_slice(text)));
+    }
+
+    /// The far side has nothing more to do with the link.
+    pub(crate) fn leave(&mut self, now: f64, key: LinkKey, how: How) {
+        if let Some(link) = self.links.get_mut(key) {
+            if !std::mem::replace(&mut link.far_gone, true) {
+                self.post(now, key, true, Parcel::End(how));
+            }
+            self.tidy(key);
+        }
+    }
+
+    fn tidy(&mut self, key: LinkKey) {
+        if self.links.get(key).is_some_and(|l| l.proxy_gone && l.far_gone) {
+            self.links.remove(key);
+        }
+    }
+
+    fn note(&mut self, now: f64, what: u8, proxy: usize, bytes: &[u8]) {
+        self.digest.update(&now.to_bits().to_le_bytes());
+        self.digest.update(&[what, proxy as u8, (proxy >> 8) as u8]);
+        self.digest.update(bytes);
+    }
+
+    /// A figure for all that crossed the wires so far, the same for two plays that are the same.
+    pub fn digest(&self) -> u32 {
+        self.digest.clone().finalize()
+    }
+
+    fn proxy_arrives(&mut self, now: f64, key: LinkKey, parcel: Parcel) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        let (proxy, far) = (link.proxy, link.far);
+        if link.proxy_gone {
+            return;
+        }
+        match parcel {
+            Parcel::Open => {
+                if !self.proxies[proxy].up {
+                    // Nobody listens there.
+                    link.proxy_gone = true;
+                    return self.post(now, key, false, Parcel::Answer(false));
+                }
+                link.shown = true;
+                self.note(now, 1, proxy, &[]);
+                self.audit.connected(now, key, proxy, far);
+                self.effects.push(Effect::Connect(key, proxy));
+            }
+            Parcel::Answer(up) => {
+                self.note(now, 2, proxy, &[up as u8]);
+                if !up {
+                    self.links.remove(key);
+                    self.audit.refused(now, key);
+                }
+                self.effects.push(if up { Effect::Up(key) } else { Effect::Refused(key) });
+            }
+            Parcel::Bytes(bytes) => {
+                if !link.shown {
+                    return;
+                }
+                self.note(now, 3, proxy, &bytes);
+                self.audit.toward(now, key, proxy, &bytes);
+                self.effects.push(Effect::Bytes(key, bytes));
+            }
+            Parcel::End(how) => {
+                if !link.shown {
+                    return;
+                }
+                self.note(now, 4, proxy, &[how as u8]);
+                self.audit.far_ended(now, key, how);
+                self.effects.push(Effect::End(key, how));
+            }
+        }
+    }
+
+    fn far_arrives(&mut self, now: f64, key: LinkKey, parcel: Parcel) {
+        let Some(link) = self.links.get(key) else { return };
+        if link.far_gone {
+            return;
+        }
+        match link.far {
+            Far::Client(client) => self.client_gets(now, client, key, parcel),
+            Far::Bad(n) => crate::troubles::bad_clients::gets(self, now, n, key, parcel),
+            Far::Front => self.front_gets(now, key, parcel),
+            Far::Node(node, at) => self.node_gets(now, node, at, key, parcel),
+            Far::Agent(agent) => self.agent_gets(now, agent, key, parcel),
+        }
+    }
+
+    // What hosts tell.
+
+    /// A proxy begins to connect.
+    pub fn dialled(&mut self, now: f64, proxy: usize, to: Target) -> LinkKey {
+        let (far, latency) = match to {
+            Target::Node(node) => {
+                let latency = self.network.between(self.proxies[proxy].zone, self.nodes[node].zone);
+                (Far::Node(node, None), latency)
+            }
+            Target::Agent(address) => (Far::Agent(address), 1e-5),
+        };
+        let key = self.link(proxy, far, latency);
+        self.links[key].shown = true;
+        self.note(now, 5, proxy, &[]);
+        if let Far::Node(node, _) = far {
+            self.audit.dialled(now, key, proxy, node);
+        }
+        self.post(now, key, false, Parcel::Open);
+        key
+    }
+
+    /// A proxy has written these bytes.
+    pub fn said(&mut self, now: f64, key: LinkKey, bytes: &[u8]) {
+        let Some(link) = self.links.get(key) else { return };
+        let proxy = link.proxy;
+        self.note(now, 6, proxy, bytes);
+        self.audit.said(now, key, proxy, bytes);
+        self.post(now, key, false, Parcel::Bytes(Bytes::from_slice(bytes)));
+    }
+
+    /// A proxy has ended its side.
+    pub fn ended(&mut self, now: f64, key: LinkKey, how: How) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        let proxy = link.proxy;
+        if how != How::Finished {
+            link.proxy_gone = true;
+        }
+        self.note(now, 7, proxy, &[how as u8]);
+        self.audit.proxy_ended(now, key, how);
+        // A machine that has vanished never hears of it; what it holds it gives back when it starts anew.
+        if let Far::Node(node, None) = self.links[key].far {
+            self.links[key].far_gone |= self.nodes[node].state == State::Silent;
+        }
+        self.post(now, key, false, Parcel::End(how));
+        self.tidy(key);
+    }
+
+    /// A proxy's process listens.
+    pub fn ready(&mut self, now: f64, proxy: usize) {
+        self.note(now, 8, proxy, &[]);
+        self.proxies[proxy].up = true;
+        self.proxies[proxy].stopping = false;
+        self.audit.proxy_up(now, proxy);
+        self.service.mark(now, format!("proxy {proxy} listens"));
+        self.front_pings(now, proxy);
+    }
+
+    /// A proxy's process is gone, by itself or not; what it held is reset.
+    pub fn gone(&mut self, now: f64, proxy: usize) {
+        self.note(now, 9, proxy, &[]);
+        self.proxies[proxy].up = false;
+        self.audit.proxy_down(now, proxy);
+        self.service.mark(now, format!("proxy {proxy} is gone"));
+        let lost: Vec<LinkKey> = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.proxy == proxy && !l.proxy_gone && l.shown)
+            .map(|(k, _)| k)
+            .collect();
+        for key in lost {
+            self.links[key].proxy_gone = true;
+            self.post(now, key, false, Parcel::End(How::Broken));
+            self.tidy(key);
+        }
+        self.front_loses(now, proxy);
+    }
+
+    pub(crate) fn start_proxy(&mut self, now: f64, proxy: usize) {
+        let mut chance = Chance::of(self.seed, Of::Proxy, (proxy as u64) << 16 | self.proxies[proxy].starts);
+        let at = if now > 0.0 { now + chance.within(self.of.proxy.start) } else { 0.0 };
+        self.proxies[proxy].starts += 1;
+        self.queue.put(at, Due::StartProxy(proxy));
+    }
+
+    fn ask_start(&mut self, _now: f64, proxy: usize) {
+        let known = self.discovery.remembered(proxy);
+        self.effects.push(Effect::Start(proxy, known));
+    }
+
+    /// The seed of a proxy's present process.
+    pub fn proxy_seed(&self, proxy: usize) -> u64 {
+        Chance::of(self.seed, Of::Proxy, (proxy as u64) << 16 | self.proxies[proxy].starts << 8 | 1).bits()
+    }
+
+    pub fn node_name(&self, node: usize) -> &str {
+        &self.node_names[node]
+    }
+
+    /// Which proxy's a link is, while the world knows it.
+    pub fn proxy_of(&self, key: LinkKey) -> Option<usize> {
+        self.links.get(key).map(|l| l.proxy)
+    }
+
+    /// What it came to, from when the service had settled.
+    pub fn outcome(&mut self) -> Outcome {
+        let (from, to) = (SETTLED.min(self.of.seconds / 2.0), self.of.seconds);
+        self.service.outcome(from, to)
+    }
+
+    /// Nobody new comes from now on.
+    pub fn close_the_shop(&mut self) {
+        self.crowd.open = false;
+    }
+
+    /// Links open, for tests that nothing is left over.
+    pub fn links_open(&self) -> usize {
+        self.links.len()
+    }
+}
--- /dev/null
+++ b/crates/dewhead-world/tests/experiment.rs
@@ -0,0 +1,39 @@
+//! Experiments as files: faults name their key, the matrix is swept, what is written is read again.
+
+use dewhead_world::experiment::Experiment;
+
+#[test]
+fn a_fault_names_its_key() {
+    for (text, named) in [
+        ("secnds = 3", "secnds"),
+        ("seconds = 0", "seconds"),
+        ("[load]\nutilisation = -1", "load.utilisation"),
+        ("[load]\nutilization = 1", "utilization"),
+        ("[fleet]\nzones = []", "fleet.zones"),
+        ("[[trouble]]\nkind = \"none\"\nat = 1", "trouble[0].kind"),
+        ("[[trouble]]\nkind = \"burst\"", "at"),
+        ("[[trouble]]\nkind = \"burst\"\nat = 1\npart = 2", "trouble[0].part"),
+        ("[[trouble]]\nkind = \"burst\"\nat = 1\nzone = \"moon\"", "trouble[0].zone"),
+        ("[[traffic]]\nname = \"a b\"", "traffic[0].name"),
+        ("[[traffic]]\nname = \"a\"\nlife = \"long\"", "traffic[0].life"),
+        ("seconds = ", "line 1"),
+        ("[matrix]\n\"load.utilisation\" = [0.5, -1]", "load.utilisation"),
+        ("[matrix]\n\"load.none\" = [1]", "load.none"),
+    ] {
+        let fault = Experiment::read(text).and_then(|of| of.points().map(|_| ())).expect_err(text);
+        assert!(fault.contains(named), "{text}: {fault}");
+        assert!(!fault.contains('\n'), "one line: {fault}");
+    }
+}
+
+#[test]
+fn the_matrix_is_swept_and_each_point_can_be_read_again() {
+    let text = "[matrix]\n\"load.utilisation\" = [0.3, 0.6]\n\"fleet.proxies\" = [1, 2, 3]";
+    let points = Experiment::read(text).unwrap().points().unwrap();
+    assert_eq!(points.len(), 6);
+    let (words, last) = &points[5];
+    assert_eq!((last.load.utilisation, last.fleet.proxies), (0.6, 3));
+    assert_eq!(words, "fleet.proxies = 3, load.utilisation = 0.6");
+    let again = Experiment::read(&toml::to_string(last).unwrap()).unwrap();
+    assert_eq!(toml::to_string(&again).unwrap(), toml::to_string(last).unwrap());
+}
