The lab on sockets: real proxies on loopback, and make demo

Need: a newcomer can be shown nothing, and simulated figures want a check on real sockets.

Listeners follow what becomes of nodes: refused when dead, stuck when silent or cut off.

--- a/crates/dewhead-lab/src/commands/mod.rs
+++ b/crates/dewhead-lab/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod compare;
+mod demo;
 mod kinds;
 mod replay;
 mod run;
@@ -20,6 +21,7 @@
 enum Command {
     Run(run::Run),
     Compare(compare::Compare),
+    Demo(demo::Demo),
     Replay(replay::Replay),
     Table(table::Table),
     Kinds(kinds::Kinds),
@@ -31,6 +33,7 @@
     let outcome = match line.command {
         Command::Run(run) => run.carry_out(),
         Command::Compare(compare) => compare.carry_out(),
+        Command::Demo(demo) => demo.carry_out(),
         Command::Replay(replay) => replay.carry_out(),
         Command::Table(table) => table.carry_out(),
         Command::Kinds(kinds) => kinds.carry_out(),
--- a/crates/dewhead-lab/src/commands/run.rs
+++ b/crates/dewhead-lab/src/commands/run.rs
@@ -1,6 +1,8 @@
 //! `run`: plays an experiment over its seeds and its matrix.
 
 use crate::runs::{self, Played, Task};
+use crate::simulated::Who;
+use crate::sockets::{self, Programs};
 use argh::FromArgs;
 use std::path::PathBuf;
 
@@ -17,6 +19,15 @@
     /// who decides: dewhead (if not given), random, round-robin, least-own, two-choices or top
     #[argh(option, default = "String::from(\"dewhead\")")]
     who: String,
+    /// where it is played: virtual (in simulated time, if not given) or sockets
+    #[argh(option, default = "String::from(\"virtual\")")]
+    host: String,
+    /// on sockets: the proxy's binary; the one beside this program if not given
+    #[argh(option)]
+    proxy: Option<PathBuf>,
+    /// on sockets: a folder for the proxies' logs
+    #[argh(option)]
+    logs: Option<PathBuf>,
     /// where to write the runs as JSON lines
     #[argh(option)]
     out: Option<PathBuf>,
@@ -37,7 +48,11 @@
                 seeds.iter().map(|seed| Task { point: point.clone(), of: of.clone(), seed: *seed, who })
             })
             .collect();
-        let played = runs::play_all(&tasks, !self.quiet);
+        let played = match self.host.as_str() {
+            "virtual" => runs::play_all(&tasks, !self.quiet),
+            "sockets" => self.on_sockets(&tasks)?,
+            other => return Err(format!("--host: '{other}' is neither virtual nor sockets")),
+        };
         if let Some(dir) = &self.out {
             runs::write(dir, &points, &played)?;
         }
@@ -55,6 +70,31 @@
     }
 }
 
+impl Run {
+    /// One after the other, as each wants the machine for itself.
+    fn on_sockets(&self, tasks: &[Task]) -> Result<Vec<Played>, String> {
+        if tasks.iter().any(|t| t.who != Who::Dewhead) {
+            return Err("--who: on sockets the proxy decides; name a build with --proxy".into());
+        }
+        let proxy = self.proxy.clone().map_or_else(sockets::beside, Ok)?;
+        if let Some(dir) = &self.logs {
+            std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        }
+        let one = |task: &Task| {
+            let programs = Programs { proxy: proxy.clone(), logs: self.logs.clone() };
+            let played = sockets::play(&task.of, &task.point, task.seed, programs)?;
+            if played.late {
+                eprintln!(
+                    "seed {}: the lab came {:.3} s late at the worst, so that times say little",
+                    task.seed, played.lateness
+                );
+            }
+            Ok(played)
+        };
+        tasks.iter().map(one).collect()
+    }
+}
+
 /// A run in one line.
 pub fn tell(one: &Played) {
     let (o, c) = (&one.outcome, &one.outcome.counts);
--- a/crates/dewhead-lab/src/lib.rs
+++ b/crates/dewhead-lab/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod policy;
 pub mod runs;
 pub mod simulated;
+pub mod sockets;
 pub mod stats;
--- a/crates/dewhead-lab/src/runs.rs
+++ b/crates/dewhead-lab/src/runs.rs
@@ -32,8 +32,8 @@
     pub host: &'static str,
     pub outcome: Outcome,
     pub breaches: Vec<Breach>,
-    /// On sockets: by how much the lab itself was late at the worst, in seconds; a run is marked late beyond a tenth of
-    /// the shortest setup target.
+    /// On sockets: by how much the lab itself was late at the worst, in seconds; a run is marked late beyond a quarter
+    /// of the shortest setup target.
     pub lateness: f64,
     pub late: bool,
     /// The trace's digest, in simulated time.
--- /dev/null
+++ b/crates/dewhead-lab/src/sockets.rs
@@ -0,0 +1,654 @@
+//! The host on sockets: real dewhead processes on loopback, and the world's clients, nodes, front and discovery on the
+//! other ends of their connections, on one thread with mio. Latency, cuts and silence are the world's, as in simulated
+//! time; what differs is the proxies' side, which is the kernel's and theirs.
+
+use crate::runs::Played;
+use dewhead_world::experiment::Experiment;
+use dewhead_world::nodes::State;
+use dewhead_world::settings::configuration;
+use dewhead_world::world::{Effect, How, LinkKey, Signal, Target, World};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use serde_json::Value;
+use slab::Slab;
+use slotmap::SecondaryMap;
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Tokens of listeners are even, of links odd.
+fn listener_token(slot: usize) -> Token {
+    Token(slot * 2)
+}
+
+fn socket_token(slot: usize) -> Token {
+    Token(slot * 2 + 1)
+}
+
+/// One end of a link, with the bytes that wait to be written to it.
+struct Socket {
+    stream: TcpStream,
+    link: LinkKey,
+    out: Vec<u8>,
+    /// Dialled by the world, not up yet.
+    connecting: bool,
+    /// Dialled by a proxy, and not taken up by the world yet: what it says waits.
+    shy: bool,
+    /// The proxy has ended its sending.
+    eof: bool,
+    /// The world has ended its own: at once, or once all is written.
+    done: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Door {
+    Open,
+    /// Connects are refused.
+    Shut,
+    /// Connects never come up.
+    Stuck,
+}
+
+/// Where a proxy reaches a node, or its discovery.
+struct Listener {
+    target: Target,
+    proxy: usize,
+    address: SocketAddr,
+    door: Door,
+    socket: Option<TcpListener>,
+    /// Connections of our own that fill the queue of one that is stuck.
+    plugs: Vec<std::net::TcpStream>,
+}
+
+struct Process {
+    child: Child,
+    /// Whether the world has been told that it listens.
+    ready: bool,
+}
+
+/// How the processes are started.
+pub struct Programs {
+    /// The proxy's binary.
+    pub proxy: PathBuf,
+    /// Where processes' logs go; nowhere if not told.
+    pub logs: Option<PathBuf>,
+}
+
+pub struct Sockets {
+    pub world: World,
+    programs: Programs,
+    poll: Poll,
+    began: Instant,
+    listeners: Slab<Listener>,
+    sockets: Slab<Socket>,
+    /// Which socket a link is on.
+    at: SecondaryMap<LinkKey, usize>,
+    processes: Vec<Option<Process>>,
+    addresses: Vec<SocketAddr>,
+    /// The configurations' folder; it goes with the run.
+    folder: PathBuf,
+    configured: Vec<Value>,
+    /// By how much the world's events came late: the worst, and since when it is counted.
+    pub lateness: f64,
+    scratch: Vec<u8>,
+}
+
+/// What is read of one socket before the others have their turn.
+const READ: usize = 64 << 10;
+/// The world is looked at this often at the least, for processes that end or listen by now.
+const WAKE: f64 = 0.005;
+/// Late from when on: processes start, and what stood before is put back, in the first seconds.
+const COUNTED_FROM: f64 = 3.0;
+/// What proxies see a moment later than we do.
+const SLACK: f64 = 0.1;
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn told(what: &str, fault: impl std::fmt::Display) -> String {
+    format!("{what}: {fault}")
+}
+
+/// Lets this process hold as many descriptors as it may.
+pub fn raise_limit() {
+    use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+    let limit = getrlimit(Resource::Nofile);
+    // Where that is not allowed, runs that need more say so when they run out.
+    let _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
+}
+
+impl Sockets {
+    pub fn new(of: &Experiment, seed: u64, programs: Programs) -> Result<Sockets, String> {
+        raise_limit();
+        let mut world = World::new(of, seed);
+        world.audit.slack = SLACK;
+        let poll = Poll::new().map_err(|e| told("poll", e))?;
+        let folder = std::env::temp_dir().join(format!("dewhead-lab-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| told(&folder.display().to_string(), e))?;
+        let proxies = world.proxies.len();
+        let mut addresses = Vec::new();
+        for p in 0..proxies {
+            // An address of the loopback range that no connection of ours goes out from, so that a proxy that starts
+            // again finds its port free.
+            let ip = [127, 0, 1 + (p / 250) as u8, 1 + (p % 250) as u8];
+            let free =
+                std::net::TcpListener::bind((std::net::Ipv4Addr::from(ip), 0)).and_then(|l| l.local_addr());
+            addresses.push(free.map_err(|e| told("a port for a proxy", e))?);
+        }
+        let mut host = Sockets {
+            world,
+            programs,
+            poll,
+            began: Instant::now(),
+            listeners: Slab::new(),
+            sockets: Slab::new(),
+            at: SecondaryMap::new(),
+            processes: (0..proxies).map(|_| None).collect(),
+            addresses,
+            folder,
+            configured: vec![Value::Null; proxies],
+            lateness: 0.0,
+            scratch: vec![0; READ],
+        };
+        let nodes = host.world.nodes.len();
+        let mut places = vec![vec![loopback(); nodes]; proxies];
+        for (p, row) in places.iter_mut().enumerate() {
+            for (n, place) in row.iter_mut().enumerate() {
+                *place = host.listen(p, Target::Node(n))?;
+            }
+            host.listen(p, Target::Agent(0))?;
+        }
+        host.world.address_nodes(|p, n| places[p][n].to_string());
+        host.began = Instant::now();
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| told("the clock", e))?;
+        host.world.begins_at(epoch.as_secs_f64());
+        Ok(host)
+    }
+
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
+    fn listen(&mut self, proxy: usize, target: Target) -> Result<SocketAddr, String> {
+        let mut socket = TcpListener::bind(loopback()).map_err(|e| told("a listener", e))?;
+        let address = socket.local_addr().map_err(|e| told("a listener", e))?;
+        let entry = self.listeners.vacant_entry();
+        let token = listener_token(entry.key());
+        self.poll
+            .registry()
+            .register(&mut socket, token, Interest::READABLE)
+            .map_err(|e| told("a listener", e))?;
+        let (door, plugs) = (Door::Open, Vec::new());
+        entry.insert(Listener { target, proxy, address, door, socket: Some(socket), plugs });
+        Ok(address)
+    }
+
+    /// Plays until this second; `each` is called about ten times a second.
+    pub fn run(&mut self, until: f64, mut each: impl FnMut(&mut World, f64)) -> Result<(), String> {
+        let mut events = Events::with_capacity(4096);
+        let mut next_call = 0.0;
+        loop {
+            let now = self.now();
+            if now >= until {
+                return Ok(());
+            }
+            if let Some(due) = self.world.next_due().filter(|due| *due <= now) {
+                if due > COUNTED_FROM {
+                    self.lateness = self.lateness.max(now - due);
+                }
+            }
+            // Many may be due; sockets are looked at in between.
+            for _ in 0..1000 {
+                let more = self.world.step(now);
+                self.carry_out()?;
+                if !more {
+                    break;
+                }
+            }
+            self.doors()?;
+            self.look_at_processes(now)?;
+            if now >= next_call {
+                next_call = now + 0.1;
+                each(&mut self.world, now);
+            }
+            let now = self.now();
+            let due = self.world.next_due().unwrap_or(until).min(now + WAKE);
+            let wait = Duration::from_secs_f64((due - now).clamp(0.0, WAKE));
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                other => other.map_err(|e| told("poll", e))?,
+            }
+            for event in events.iter() {
+                let slot = event.token().0 / 2;
+                if event.token().0 % 2 == 0 {
+                    self.accept(slot);
+                } else {
+                    self.ready(slot, event.is_readable() || event.is_read_closed() || event.is_error());
+                }
+                self.carry_out()?;
+            }
+        }
+    }
+
+    fn carry_out(&mut self) -> Result<(), String> {
+        loop {
+            let effects = self.world.effects();
+            if effects.is_empty() {
+                return Ok(());
+            }
+            for effect in effects {
+                self.effect(effect)?;
+            }
+        }
+    }
+
+    fn effect(&mut self, effect: Effect) -> Result<(), String> {
+        let now = self.now();
+        match effect {
+            Effect::Connect(link, p) => match TcpStream::connect(self.addresses[p]) {
+                Ok(stream) => self.keep(stream, link, true, false)?,
+                Err(e) if e.kind() == io::ErrorKind::AddrNotAvailable || e.raw_os_error() == Some(24) => {
+                    return Err(told("the lab has run out of ports or descriptors", e));
+                }
+                Err(_) => self.world.ended(now, link, How::Broken),
+            },
+            Effect::Up(link) => {
+                if let Some(&slot) = self.at.get(link) {
+                    self.sockets[slot].shy = false;
+                    self.read(slot);
+                }
+            }
+            Effect::Refused(link) => {
+                if let Some(slot) = self.at.remove(link) {
+                    abort(&self.sockets.remove(slot).stream);
+                }
+            }
+            Effect::Bytes(link, bytes) => {
+                if let Some(&slot) = self.at.get(link) {
+                    self.sockets[slot].out.extend_from_slice(&bytes);
+                    self.flush(slot);
+                }
+            }
+            Effect::End(link, how) => {
+                if let Some(&slot) = self.at.get(link) {
+                    if how == How::Broken {
+                        abort(&self.sockets[slot].stream);
+                        self.drop_socket(slot);
+                        self.world.ended(now, link, How::Broken);
+                    } else {
+                        self.sockets[slot].done = true;
+                        self.flush(slot);
+                    }
+                }
+            }
+            Effect::Start(p, known) => self.start(p, known)?,
+            Effect::Signal(p, Signal::Stop) => self.signal(p, rustix::process::Signal::TERM),
+            Effect::Signal(p, Signal::Kill) => {
+                if let Some(process) = &mut self.processes[p] {
+                    // One that has ended by itself needs no signal.
+                    let _ = process.child.kill();
+                    process.child.wait().map_err(|e| told("a proxy's process", e))?;
+                    self.lose_process(p);
+                }
+            }
+            Effect::Renew(p, address) => {
+                self.shut_discovery(p);
+                let to = self.listen(p, Target::Agent(address))?;
+                self.configured[p]["discovery"] = Value::String(to.to_string());
+                self.write_configuration(p)?;
+                self.signal(p, rustix::process::Signal::HUP);
+            }
+        }
+        Ok(())
+    }
+
+    /// An older address of discovery takes no new connection.
+    fn shut_discovery(&mut self, p: usize) {
+        let old: Vec<usize> = self
+            .listeners
+            .iter()
+            .filter(|(_, l)| l.proxy == p && matches!(l.target, Target::Agent(_)))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in old {
+            self.listeners.remove(slot);
+        }
+    }
+
+    fn signal(&self, p: usize, signal: rustix::process::Signal) {
+        if let Some(process) = &self.processes[p] {
+            if let Some(pid) = rustix::process::Pid::from_raw(process.child.id() as i32) {
+                // One that has just ended is found by `look_at_processes`.
+                let _ = rustix::process::kill_process(pid, signal);
+            }
+        }
+    }
+
+    fn write_configuration(&self, p: usize) -> Result<PathBuf, String> {
+        let path = self.folder.join(format!("proxy-{p}.json"));
+        let next = self.folder.join(format!("proxy-{p}.next"));
+        let fault = |e| told(&path.display().to_string(), e);
+        std::fs::write(&next, self.configured[p].to_string()).map_err(fault)?;
+        std::fs::rename(&next, &path).map_err(fault)?;
+        Ok(path)
+    }
+
+    fn start(&mut self, p: usize, known: Value) -> Result<(), String> {
+        if self.processes[p].is_some() {
+            return Ok(());
+        }
+        let mine = |l: &&Listener| l.proxy == p && matches!(l.target, Target::Agent(_));
+        let discovery = self.listeners.iter().map(|(_, l)| l).find(mine).map(|l| l.address.to_string());
+        let (listen, discovery) = (self.addresses[p].to_string(), discovery.unwrap_or_default());
+        let seed = self.world.proxy_seed(p);
+        self.configured[p] = configuration(&self.world.of, p, &listen, &discovery, seed, known);
+        let path = self.write_configuration(p)?;
+        let log = match &self.programs.logs {
+            Some(dir) => {
+                let file = File::options().create(true).append(true).open(dir.join(format!("proxy-{p}.log")));
+                Stdio::from(file.map_err(|e| told(&dir.display().to_string(), e))?)
+            }
+            None => Stdio::null(),
+        };
+        let child = Command::new(&self.programs.proxy)
+            .args(["serve", "--config"])
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|e| told(&self.programs.proxy.display().to_string(), e))?;
+        self.processes[p] = Some(Process { child, ready: false });
+        Ok(())
+    }
+
+    fn look_at_processes(&mut self, now: f64) -> Result<(), String> {
+        for p in 0..self.processes.len() {
+            let Some(process) = &mut self.processes[p] else { continue };
+            let ended = process.child.try_wait().map_err(|e| told("a proxy's process", e))?;
+            if let Some(status) = ended {
+                if !process.ready && !status.success() {
+                    return Err(format!(
+                        "proxy {p} ended at its start with {status}; --logs DIR keeps what it says"
+                    ));
+                }
+                self.lose_process(p);
+            } else if !process.ready && std::net::TcpStream::connect(self.addresses[p]).is_ok() {
+                process.ready = true;
+                self.world.ready(now, p);
+            }
+        }
+        self.carry_out()
+    }
+
+    /// What the kernel does to its connections, we see on each by itself; the world is told at once.
+    fn lose_process(&mut self, p: usize) {
+        self.processes[p] = None;
+        let now = self.now();
+        // What it said last is still in our sockets.
+        let its: Vec<usize> = self
+            .sockets
+            .iter()
+            .filter(|(_, s)| self.world.proxy_of(s.link) == Some(p))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in &its {
+            self.read(*slot);
+        }
+        self.world.gone(now, p);
+        for slot in its {
+            if self.sockets.contains(slot) {
+                self.drop_socket(slot);
+            }
+        }
+    }
+
+    /// Listeners follow what has become of nodes and zones.
+    fn doors(&mut self) -> Result<(), String> {
+        for slot in 0..self.listeners.capacity() {
+            let Some(listener) = self.listeners.get(slot) else { continue };
+            let Target::Node(node) = listener.target else { continue };
+            let wanted = match self.world.nodes[node].state {
+                State::Dead => Door::Shut,
+                State::Silent => Door::Stuck,
+                _ if self.world.is_cut(listener.proxy, node) => Door::Stuck,
+                _ => Door::Open,
+            };
+            if wanted != listener.door {
+                self.turn_door(slot, wanted).map_err(|e| told("a listener", e))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn turn_door(&mut self, slot: usize, wanted: Door) -> io::Result<()> {
+        let listener = &mut self.listeners[slot];
+        listener.socket = None;
+        listener.plugs.clear();
+        listener.door = wanted;
+        let backlog = match wanted {
+            Door::Shut => return Ok(()),
+            Door::Stuck => 0,
+            Door::Open => 1024,
+        };
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&listener.address.into())?;
+        socket.listen(backlog)?;
+        socket.set_nonblocking(true)?;
+        let mut socket = TcpListener::from_std(socket.into());
+        if wanted == Door::Stuck {
+            // A queue that is full lets no further connect come up.
+            for _ in 0..2 {
+                let timeout = Duration::from_millis(20);
+                listener.plugs.extend(std::net::TcpStream::connect_timeout(&listener.address, timeout));
+            }
+        } else {
+            self.poll.registry().register(&mut socket, listener_token(slot), Interest::READABLE)?;
+        }
+        listener.socket = Some(socket);
+        Ok(())
+    }
+
+    fn accept(&mut self, slot: usize) {
+        loop {
+            let Some(listener) = self.listeners.get(slot) else { return };
+            let (proxy, target) = (listener.proxy, listener.target);
+            let Some(Ok((stream, _))) = listener.socket.as_ref().map(|s| s.accept()) else { return };
+            let now = self.now();
+            let link = self.world.dialled(now, proxy, target);
+            if self.keep(stream, link, false, true).is_err() {
+                self.world.ended(now, link, How::Broken);
+            }
+        }
+    }
+
+    fn keep(
+        &mut self,
+        mut stream: TcpStream,
+        link: LinkKey,
+        connecting: bool,
+        shy: bool,
+    ) -> Result<(), String> {
+        let entry = self.sockets.vacant_entry();
+        let slot = entry.key();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let registered = self.poll.registry().register(&mut stream, socket_token(slot), interest);
+        registered.map_err(|e| told("a socket", e))?;
+        // Lines are small and wanted at once; where the kernel won't, they come a little later.
+        let _ = stream.set_nodelay(true);
+        entry.insert(Socket { stream, link, out: Vec::new(), connecting, shy, eof: false, done: false });
+        self.at.insert(link, slot);
+        Ok(())
+    }
+
+    fn drop_socket(&mut self, slot: usize) {
+        let socket = self.sockets.remove(slot);
+        self.at.remove(socket.link);
+    }
+
+    fn ready(&mut self, slot: usize, readable: bool) {
+        let Some(socket) = self.sockets.get_mut(slot) else { return };
+        if socket.connecting {
+            if !matches!(socket.stream.take_error(), Ok(None)) {
+                return self.lost(slot);
+            }
+            if socket.stream.peer_addr().is_err() {
+                return;
+            }
+            socket.connecting = false;
+        }
+        self.flush(slot);
+        if readable {
+            self.read(slot);
+        }
+    }
+
+    /// The proxy's side has broken.
+    fn lost(&mut self, slot: usize) {
+        let link = self.sockets[slot].link;
+        self.drop_socket(slot);
+        let now = self.now();
+        self.world.ended(now, link, How::Broken);
+    }
+
+    fn flush(&mut self, slot: usize) {
+        let Some(socket) = self.sockets.get_mut(slot).filter(|s| !s.connecting) else { return };
+        let mut gone = 0;
+        while gone < socket.out.len() {
+            match socket.stream.write(&socket.out[gone..]) {
+                Ok(0) => break,
+                Ok(n) => gone += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                // What the proxy said before it closed is still to be read; the read finds the end.
+                Err(_) => {
+                    socket.out.clear();
+                    return;
+                }
+            }
+        }
+        socket.out.drain(..gone);
+        if socket.done && socket.out.is_empty() {
+            if socket.eof {
+                // Both sides have ended.
+                let link = socket.link;
+                self.drop_socket(slot);
+                let now = self.now();
+                self.world.ended(now, link, How::Closed);
+            } else {
+                // One that is gone already needs no end.
+                let _ = socket.stream.shutdown(Shutdown::Write);
+            }
+        }
+    }
+
+    fn read(&mut self, slot: usize) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        while let Some(socket) = self.sockets.get_mut(slot).filter(|s| !s.shy && !s.eof && !s.connecting) {
+            match socket.stream.read(&mut scratch) {
+                Ok(0) => {
+                    socket.eof = true;
+                    let (link, done) = (socket.link, socket.done);
+                    let now = self.now();
+                    if done {
+                        self.drop_socket(slot);
+                        self.world.ended(now, link, How::Closed);
+                    } else {
+                        self.world.ended(now, link, How::Finished);
+                    }
+                }
+                Ok(n) => {
+                    let link = socket.link;
+                    let now = self.now();
+                    self.world.said(now, link, &scratch[..n]);
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => {
+                    self.lost(slot);
+                    break;
+                }
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    /// Sockets that are open, for tests that nothing is left over.
+    pub fn open(&self) -> usize {
+        self.sockets.len()
+    }
+}
+
+impl Drop for Sockets {
+    /// Ends the processes that were started here, and gives their folder back.
+    fn drop(&mut self) {
+        for process in self.processes.iter_mut().flatten() {
+            // Those that ended by themselves need neither.
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Makes the close that follows a reset.
+fn abort(stream: &TcpStream) {
+    // Where that fails the close is a plain one.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// The proxy's binary that lies beside this program's.
+pub fn beside() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| told("this program's place", e))?;
+    let beside = own.with_file_name("dewhead");
+    if beside.is_file() {
+        return Ok(beside);
+    }
+    // Tests' programs lie a folder deeper.
+    let above = own.parent().and_then(Path::parent).map(|dir| dir.join("dewhead")).filter(|p| p.is_file());
+    above.ok_or_else(|| format!("there is no {}: build it, or name one with --proxy", beside.display()))
+}
+
+/// Plays one run on sockets.
+pub fn play(of: &Experiment, point: &str, seed: u64, programs: Programs) -> Result<Played, String> {
+    let began = Instant::now();
+    let who = programs.proxy.display().to_string();
+    let mut host = Sockets::new(of, seed, programs)?;
+    host.run(of.seconds, |_, _| {})?;
+    let lateness = host.lateness;
+    Ok(played(&mut host.world, point, seed, who, lateness, began))
+}
+
+/// What a run on sockets came to.
+pub fn played(
+    world: &mut World,
+    point: &str,
+    seed: u64,
+    who: String,
+    lateness: f64,
+    began: Instant,
+) -> Played {
+    let shortest = world.of.traffic.iter().map(|t| t.setup_target).fold(f64::INFINITY, f64::min);
+    Played {
+        experiment: world.of.name.clone(),
+        point: point.to_owned(),
+        seed,
+        who,
+        host: "sockets",
+        outcome: world.outcome(),
+        breaches: std::mem::take(&mut world.audit.breaches),
+        lateness,
+        late: lateness > shortest / 4.0,
+        digest: String::new(),
+        events: 0,
+        took: began.elapsed().as_secs_f64(),
+        nodes: std::mem::take(&mut world.service.nodes),
+        proxies: std::mem::take(&mut world.service.proxies),
+        marks: std::mem::take(&mut world.service.marks),
+    }
+}
--- a/crates/dewhead-world/src/world.rs
+++ b/crates/dewhead-world/src/world.rs
@@ -587,6 +587,11 @@
         self.service.outcome(from, to)
     }
 
+    /// Whether this proxy and this node hear nothing of each other.
+    pub fn is_cut(&self, proxy: usize, node: usize) -> bool {
+        self.network.is_cut(self.proxies[proxy].zone, self.nodes[node].zone)
+    }
+
     /// Nobody new comes from now on.
     pub fn close_the_shop(&mut self) {
         self.crowd.open = false;
