--- a/crates/dewhead-lab/src/commands/mod.rs
+++ b/crates/dewhead-lab/src/commands/mod.rs
@@ -2,8 +2,10 @@
 
 mod compare;
 mod demo;
+mod hunt;
 mod kinds;
 mod replay;
+mod report;
 mod run;
 mod table;
 
@@ -25,6 +27,8 @@
     Replay(replay::Replay),
     Table(table::Table),
     Kinds(kinds::Kinds),
+    Report(report::Report),
+    Hunt(hunt::Hunt),
 }
 
 /// Runs the program; what it returns is the exit code.
@@ -37,6 +41,8 @@
         Command::Replay(replay) => replay.carry_out(),
         Command::Table(table) => table.carry_out(),
         Command::Kinds(kinds) => kinds.carry_out(),
+        Command::Report(report) => report.carry_out(),
+        Command::Hunt(hunt) => hunt.carry_out(),
     };
     match outcome {
         Ok(true) => 0,
--- /dev/null
+++ b/crates/dewhead-lab/src/hunt.rs
@@ -0,0 +1,213 @@
+//! The hunt: which combination of troubles, at which times, makes the worst day? Found in simulated time, then shrunk to
+//! the smallest that still does badly.
+//!
+//! How bad a day is, is told by what the top reaches there and dewhead does not; a day that nobody can serve is no find.
+
+use crate::policy::Policy;
+use crate::runs::{play, Task};
+use crate::simulated::Who;
+use dewhead_world::chance::{Chance, Of};
+use dewhead_world::experiment::{Experiment, Trouble};
+use dewhead_world::troubles::KINDS;
+use rayon::prelude::*;
+
+/// A day and how bad it is.
+#[derive(Clone)]
+pub struct Find {
+    pub of: Experiment,
+    pub seed: u64,
+    /// The top's service less dewhead's; a broken rule counts as 1 and more.
+    pub lost: f64,
+    pub service: f64,
+    pub top: f64,
+    pub breaches: usize,
+}
+
+/// Troubles of a day that is drawn: so many at the most.
+const MOST: usize = 4;
+/// A shrunk day does badly still if it loses this part of what the whole one lost.
+const STILL: f64 = 0.8;
+
+/// Plays a day on some seeds; what it loses is the mean.
+pub fn weigh(of: &Experiment, seeds: &[u64]) -> Find {
+    let task = |seed: u64, who| Task { point: String::new(), of: of.clone(), seed, who };
+    let mut find = Find { of: of.clone(), seed: seeds[0], lost: 0.0, service: 0.0, top: 0.0, breaches: 0 };
+    let many = seeds.len() as f64;
+    let mut worst = f64::NEG_INFINITY;
+    for seed in seeds {
+        let (ours, top) = (play(&task(*seed, Who::Dewhead)), play(&task(*seed, Who::Plain(Policy::Top))));
+        let lost = top.outcome.service - ours.outcome.service + ours.breaches.len() as f64;
+        find.lost += lost / many;
+        find.service += ours.outcome.service / many;
+        find.top += top.outcome.service / many;
+        find.breaches += ours.breaches.len();
+        if lost > worst {
+            (worst, find.seed) = (lost, *seed);
+        }
+    }
+    find
+}
+
+fn figure(x: f64) -> f64 {
+    (x * 100.0).round() / 100.0
+}
+
+/// One trouble, drawn so that each kind means something.
+fn trouble(chance: &mut Chance, seconds: f64) -> Trouble {
+    let kind = &KINDS[chance.place(KINDS.len())];
+    let (part, size) = match kind.name {
+        "burst" => (0.5, [1.3, 3.0]),
+        "flood" => (0.5, [2.0, 8.0]),
+        "heavy-tail" => (chance.within([0.01, 0.05]), [5.0, 30.0]),
+        "neighbour" => (chance.within([0.1, 0.6]), [1.3, 3.0]),
+        "slow-network" => (0.5, [2.0, 20.0]),
+        "bad-clients" => (0.5, [10.0, 150.0]),
+        "discovery-late" => (0.5, [3.0, 20.0]),
+        "drain" | "restart-stop" | "restart-kill" | "reconfigure" => (chance.within([0.3, 1.0]), [1.0, 4.0]),
+        _ => (chance.within([0.1, 0.5]), [2.0, 20.0]),
+    };
+    Trouble {
+        kind: kind.name.into(),
+        at: figure(chance.within([8.0, seconds * 0.6])),
+        lasts: figure(chance.within([1.0, seconds * 0.4])),
+        part: figure(part),
+        size: figure(chance.within(size)),
+        at_a_time: 1 + chance.place(2),
+        zone: None,
+        of: None,
+    }
+}
+
+/// A day near this one: one trouble more, less, or moved.
+fn near(of: &Experiment, chance: &mut Chance) -> Experiment {
+    let mut of = of.clone();
+    let many = of.troubles.len();
+    match chance.place(4) {
+        0 if many < MOST => of.troubles.push(trouble(chance, of.seconds)),
+        1 if many > 1 => {
+            of.troubles.remove(chance.place(many));
+        }
+        2 if many > 0 => {
+            let n = chance.place(many);
+            of.troubles[n] = trouble(chance, of.seconds);
+        }
+        _ if many > 0 => {
+            let n = chance.place(many);
+            let (at, lasts) = (of.troubles[n].at, of.troubles[n].lasts);
+            of.troubles[n].at = figure((at + chance.within([-6.0, 6.0])).clamp(7.0, of.seconds * 0.7));
+            of.troubles[n].lasts = figure((lasts * chance.within([0.5, 1.8])).clamp(0.5, of.seconds * 0.5));
+        }
+        _ => of.troubles.push(trouble(chance, of.seconds)),
+    }
+    of
+}
+
+fn drawn(base: &Experiment, chance: &mut Chance) -> Experiment {
+    let mut of = base.clone();
+    of.load.utilisation = figure(chance.within([0.35, 0.7]));
+    of.troubles = (0..1 + chance.place(MOST)).map(|_| trouble(chance, of.seconds)).collect();
+    of
+}
+
+/// A way to tell two finds apart: which kinds of trouble they are made of.
+pub fn kinds(of: &Experiment) -> Vec<&str> {
+    let mut kinds: Vec<&str> = of.troubles.iter().map(|t| t.kind.as_str()).collect();
+    kinds.sort_unstable();
+    kinds.dedup();
+    kinds
+}
+
+/// Searches in rounds until `more` says no; it is told the round, days played so far and the worst so far.
+pub fn search(
+    base: &Experiment,
+    seed: u64,
+    mut more: impl FnMut(usize, usize, &[Find]) -> bool,
+) -> Vec<Find> {
+    let mut best: Vec<Find> = Vec::new();
+    let mut played = 0;
+    for round in 0.. {
+        if !more(round, played, &best) {
+            break;
+        }
+        let days: Vec<Experiment> = (0..16)
+            .map(|n| {
+                let mut chance = Chance::of(seed, Of::Search, (round as u64) << 8 | n);
+                // Half are new, half lie near the worst that are known.
+                if n % 2 == 0 || best.is_empty() {
+                    drawn(base, &mut chance)
+                } else {
+                    let from = chance.place(best.len());
+                    near(&best[from].of, &mut chance)
+                }
+            })
+            .collect();
+        played += days.len();
+        let weighed: Vec<Find> = days.par_iter().map(|of| weigh(of, &[seed + round as u64])).collect();
+        // What looks bad once is played again on other seeds, since single days swing.
+        let least = best.iter().map(|f| f.lost).fold(f64::INFINITY, f64::min);
+        let seeds: Vec<u64> = (0..4).map(|n| 1000 + seed + n).collect();
+        let sure: Vec<Find> = weighed
+            .par_iter()
+            .filter(|f| best.len() < 8 || f.lost > least)
+            .map(|f| weigh(&f.of, &seeds))
+            .collect();
+        for find in sure {
+            // One of each make; the worst of them.
+            match best.iter_mut().find(|b| kinds(&b.of) == kinds(&find.of)) {
+                Some(same) if same.lost < find.lost => *same = find,
+                Some(_) => {}
+                None => best.push(find),
+            }
+        }
+        best.sort_by(|a, b| b.lost.total_cmp(&a.lost));
+        best.truncate(8);
+    }
+    best
+}
+
+/// The smallest day that still does badly: troubles left out, made milder and shorter, one at a time.
+pub fn shrink(find: &Find) -> Find {
+    let seeds: Vec<u64> = (0..4).map(|n| 2000 + n).collect();
+    let mut small = weigh(&find.of, &seeds);
+    let bound = small.lost * STILL;
+    loop {
+        let mut tries: Vec<Experiment> = Vec::new();
+        for n in 0..small.of.troubles.len() {
+            let mut less = small.of.clone();
+            less.troubles.remove(n);
+            tries.push(less);
+        }
+        for n in 0..small.of.troubles.len() {
+            let change = |change: &dyn Fn(&mut Trouble)| {
+                let mut milder = small.of.clone();
+                change(&mut milder.troubles[n]);
+                milder
+            };
+            tries.push(change(&|t| t.lasts = figure((t.lasts / 2.0).max(0.5))));
+            tries.push(change(&|t| t.size = figure((1.0 + (t.size - 1.0) / 2.0).max(1.0))));
+            tries.push(change(&|t| t.part = figure(t.part / 2.0)));
+        }
+        let mut calmer = small.of.clone();
+        calmer.load.utilisation = figure(calmer.load.utilisation - 0.1);
+        if calmer.load.utilisation >= 0.3 {
+            tries.push(calmer);
+        }
+        tries.retain(|of| size(of) < size(&small.of));
+        let weighed: Vec<Find> = tries.par_iter().map(|of| weigh(of, &seeds)).collect();
+        // The smallest of those that are bad enough; the first of like ones.
+        let next = weighed
+            .into_iter()
+            .filter(|f| f.lost >= bound)
+            .min_by(|a, b| size(&a.of).total_cmp(&size(&b.of)));
+        match next {
+            Some(next) => small = next,
+            None => return small,
+        }
+    }
+}
+
+/// How much there is to a day, for the shrinking: each trouble counts, then how long and how hard it is.
+fn size(of: &Experiment) -> f64 {
+    let each = of.troubles.iter().map(|t| 10.0 + 0.1 * t.lasts + 0.1 * t.size + t.part);
+    each.sum::<f64>() + of.load.utilisation
+}
--- a/crates/dewhead-lab/src/lib.rs
+++ b/crates/dewhead-lab/src/lib.rs
@@ -2,8 +2,10 @@
 //! the commands are made of.
 
 pub mod commands;
+pub mod hunt;
 pub mod plain;
 pub mod policy;
+pub mod report;
 pub mod runs;
 pub mod simulated;
 pub mod sockets;
--- a/crates/dewhead-world/src/service.rs
+++ b/crates/dewhead-world/src/service.rs
@@ -79,6 +79,8 @@
     pub by_type: Vec<f64>,
     /// Set-up times in seconds: median, 99 and 99.9 in a hundred.
     pub set_up: [f64; 3],
+    /// Set-up times in milliseconds at some parts of all.
+    pub quantiles: Vec<(f64, f64)>,
     pub counts: Counts,
     /// Revenue wanted and served, by the second.
     pub wanted: Vec<f64>,
@@ -153,6 +155,10 @@
             worst_type: by_type.iter().copied().fold(1.0, f64::min),
             by_type,
             set_up: [at(0.5), at(0.99), at(0.999)],
+            quantiles: all
+                .iter_quantiles(4)
+                .map(|v| (v.quantile(), v.value_iterated_to() as f64 / 1e3))
+                .collect(),
             counts: self.counts.clone(),
             wanted: (0..to).map(|s| second(&self.wanted, s)).collect(),
             served: (0..to).map(|s| second(&self.served, s)).collect(),
