--- a/crates/dewhead-lab/src/simulated.rs
+++ b/crates/dewhead-lab/src/simulated.rs
@@ -80,6 +80,8 @@
     /// When processes want to be woken, soonest first; entries that no longer hold are passed over.
     due: BinaryHeap<Reverse<(u64, usize)>>,
     truths: Truths,
+    /// The world's effects while they are carried out; the buffer is kept.
+    effects: Vec<world::Effect>,
     looked: f64,
     now: f64,
     /// Things that happened, for the measure of speed.
@@ -130,6 +132,7 @@
             at: SecondaryMap::new(),
             due: BinaryHeap::new(),
             truths: Truths::default(),
+            effects: Vec::new(),
             looked: -1.0,
             now: 0.0,
             events: 0,
@@ -180,15 +183,17 @@
 
     /// What the world asks for, until it asks for nothing more.
     fn carry_out(&mut self) {
+        let mut effects = std::mem::take(&mut self.effects);
         loop {
-            let effects = self.world.effects();
+            self.world.effects(&mut effects);
             if effects.is_empty() {
-                return;
+                break;
             }
-            for effect in effects {
+            for effect in effects.drain(..) {
                 self.world_effect(effect);
             }
         }
+        self.effects = effects;
     }
 
     fn clock(&self) -> f64 {
--- a/crates/dewhead-lab/src/sockets.rs
+++ b/crates/dewhead-lab/src/sockets.rs
@@ -235,12 +235,13 @@
     }
 
     fn carry_out(&mut self) -> Result<(), String> {
+        let mut effects = Vec::new();
         loop {
-            let effects = self.world.effects();
+            self.world.effects(&mut effects);
             if effects.is_empty() {
                 return Ok(());
             }
-            for effect in effects {
+            for effect in effects.drain(..) {
                 self.effect(effect)?;
             }
         }
--- a/crates/dewhead-world/src/queue.rs
+++ b/crates/dewhead-world/src/queue.rs
@@ -1,26 +1,28 @@
 //! What is to happen, in the order of its time; what falls on one instant happens in the order it was put in.
 
+use slab::Slab;
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
-struct Entry<T> {
+/// Small, as the heap moves its entries about; what is to happen lies still in a slot until then.
+struct Entry {
     at: f64,
     order: u64,
-    what: T,
+    slot: usize,
 }
 
-impl<T> PartialEq for Entry<T> {
+impl PartialEq for Entry {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other) == Ordering::Equal
     }
 }
-impl<T> Eq for Entry<T> {}
-impl<T> PartialOrd for Entry<T> {
+impl Eq for Entry {}
+impl PartialOrd for Entry {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
-impl<T> Ord for Entry<T> {
+impl Ord for Entry {
     /// Reversed, as the heap gives its greatest first.
     fn cmp(&self, other: &Self) -> Ordering {
         other.at.total_cmp(&self.at).then(other.order.cmp(&self.order))
@@ -28,20 +30,22 @@
 }
 
 pub struct Queue<T> {
-    heap: BinaryHeap<Entry<T>>,
+    heap: BinaryHeap<Entry>,
     order: u64,
+    slots: Slab<T>,
 }
 
 impl<T> Default for Queue<T> {
     fn default() -> Self {
-        Queue { heap: BinaryHeap::new(), order: 0 }
+        Queue { heap: BinaryHeap::new(), order: 0, slots: Slab::new() }
     }
 }
 
 impl<T> Queue<T> {
     pub fn put(&mut self, at: f64, what: T) {
         self.order += 1;
-        self.heap.push(Entry { at, order: self.order, what });
+        let slot = self.slots.insert(what);
+        self.heap.push(Entry { at, order: self.order, slot });
     }
 
     /// When the next is due.
@@ -54,7 +58,8 @@
         if self.next()? > now {
             return None;
         }
-        self.heap.pop().map(|e| (e.at, e.what))
+        let entry = self.heap.pop()?;
+        Some((entry.at, self.slots.remove(entry.slot)))
     }
 
     pub fn len(&self) -> usize {
--- a/crates/dewhead-world/src/world.rs
+++ b/crates/dewhead-world/src/world.rs
@@ -251,8 +251,10 @@
         true
     }
 
-    pub fn effects(&mut self) -> Vec<Effect> {
-        std::mem::take(&mut self.effects)
+    /// What is to be carried out, in order; `into` is emptied first, so that one buffer serves a whole run.
+    pub fn effects(&mut self, into: &mut Vec<Effect>) {
+        into.clear();
+        std::mem::swap(into, &mut self.effects);
     }
 
     pub(crate) fn ask(&mut self, effect: Effect) {
