The auditor: a server that stopped within a line no longer answers

The auditor took a server heard within 4 s for one that answers. Change: not one that leaves a line unanswered for 2 s, nor one whose line has stood open for 0.8 s.

--- a/crates/dewhead-world/src/audit.rs
+++ b/crates/dewhead-world/src/audit.rs
@@ -183,6 +183,10 @@
 const SILENT: f64 = 7.0;
 /// A server that has said something so lately still answers.
 const ANSWERS: f64 = 4.0;
+/// But not one that leaves a line without an answer for so long.
+const NO_ANSWER: f64 = 2.0;
+/// Nor one that stopped within a line so long ago.
+const STUCK: f64 = 0.8;
 /// So many breaches are kept.
 const KEPT: usize = 100;
 
@@ -742,8 +746,13 @@
             self.breach(now, Rule::OneAnswer, proxy, Some(id), "its link was ended without an answer".into());
         } else if let Some(leg) = call.standing {
             let moved = call.own.len() == 6;
+            // One that has vanished was heard lately too, and answers no more; within a line there is no place for MOVE.
+            let waits = call.unanswered.is_some_and(|at| now - at > NO_ANSWER);
             let answers = match self.seen.get(leg) {
-                Some(Seen::Leg(leg)) => leg.far_ended.is_none() && !leg.farewell && now - leg.heard < ANSWERS,
+                Some(Seen::Leg(leg)) => {
+                    let stuck = !leg.tail.is_empty() && now - leg.heard > STUCK;
+                    leg.far_ended.is_none() && !leg.farewell && now - leg.heard < ANSWERS && !waits && !stuck
+                }
                 _ => false,
             };
             if !moved && answers {
