Life stages, words to a service manager, inherited sockets and a control socket

Need: operators cannot see what a proxy is doing, drain it and take that back, or have a service manager know when it serves.

Change: lifecycle/stages.rs, a machine without I/O (starting, waiting, ready, reloading, draining, stopping, stopped) that says what is to be done; notify.rs (READY, RELOADING with its clock, STOPPING, WATCHDOG from the loop itself); LISTEN_FDS; control/ with a Unix socket of mode 0600, named by field 'control' and off without it, JSON a line, versioned; dewhead ctl status, connections, drain, undrain, reload. A drain is spread over the time told and can be taken back.

--- a/crates/dewhead-lab/src/plain.rs
+++ b/crates/dewhead-lab/src/plain.rs
@@ -826,6 +826,8 @@
                 }
             }
             Event::Stop => self.stop(now),
+            // Only a proxy with a control socket is told these.
+            Event::Drain(_) | Event::Undrain => {}
             Event::Renewed(discovery, _) => {
                 (self.discovery, self.version, self.answer) = (discovery, 0, None);
                 self.follow(now);
--- /dev/null
+++ b/crates/dewhead-proxy/src/control/ask.rs
@@ -0,0 +1,56 @@
+//! Asking a running proxy, for `dewhead ctl`.
+
+use super::words;
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::time::Duration;
+
+/// A proxy that says nothing for so long is not waited for.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Asks, and returns the answer; a fault that the proxy tells is an error.
+pub fn ask(socket: &Path, action: &str, seconds: Option<f64>) -> Result<Value, String> {
+    let fault = |e: std::io::Error| format!("{}: {e}", socket.display());
+    let mut stream = UnixStream::connect(socket).map_err(fault)?;
+    stream.set_read_timeout(Some(PATIENCE)).map_err(fault)?;
+    stream.set_write_timeout(Some(PATIENCE)).map_err(fault)?;
+    stream.write_all(words::line(action, seconds).as_bytes()).map_err(fault)?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).map_err(fault)?;
+    let answer: Value = serde_json::from_str(&line)
+        .map_err(|_| format!("{}: the answer is not understood: '{}'", socket.display(), line.trim_end()))?;
+    match answer["version"].as_u64() {
+        Some(words::VERSION) => {}
+        _ => return Err(format!("{}: it speaks another version", socket.display())),
+    }
+    if answer["ok"] != true {
+        return Err(answer["fault"].as_str().unwrap_or("refused, without a reason").to_owned());
+    }
+    Ok(answer)
+}
+
+/// An answer for people: a field a line, lists as tables.
+pub fn plainly(answer: &Value) -> String {
+    let mut text = String::new();
+    for (name, value) in answer.as_object().into_iter().flatten() {
+        match value {
+            _ if name == "ok" || name == "version" => {}
+            Value::Array(rows) => {
+                text += &format!("{name}:\n");
+                for row in rows {
+                    let cells =
+                        row.as_object().into_iter().flatten().map(|(n, v)| format!("{n} {}", bare(v)));
+                    text += &format!("  {}\n", cells.collect::<Vec<_>>().join("  "));
+                }
+            }
+            value => text += &format!("{name}: {}\n", bare(value)),
+        }
+    }
+    text
+}
+
+fn bare(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/crates/dewhead-proxy/src/control/desk.rs
@@ -0,0 +1,146 @@
+//! The control socket's side of the loop: a Unix socket that only its owner can open, a few visitors at a time, each
+//! with a bounded line.
+
+use mio::net::{UnixListener, UnixStream};
+use mio::{Interest, Registry, Token};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+/// Visitors at a time; more are hung up on.
+const VISITORS: usize = 4;
+const LONGEST_LINE: usize = 4096;
+/// Tokens are taken from the top, where no end's slot reaches.
+const DOOR: Token = Token(usize::MAX - 1);
+const FIRST: usize = usize::MAX - 2;
+
+struct Visitor {
+    socket: UnixStream,
+    said: Vec<u8>,
+    out: Vec<u8>,
+    /// Hung up on once it has its answer.
+    leaving: bool,
+}
+
+pub struct Desk {
+    listener: UnixListener,
+    path: PathBuf,
+    /// A visitor's place is given back when it hangs up, or when it says more than a line may be long.
+    visitors: [Option<Visitor>; VISITORS],
+}
+
+impl Desk {
+    /// Opens the socket, readable and writable by its owner alone. One that a dead process has left is taken over; one
+    /// that is answered is another process's, and an error.
+    pub fn open(path: &Path, registry: &Registry) -> io::Result<Desk> {
+        let bind = || {
+            let before = rustix::process::umask(rustix::fs::Mode::from_bits_truncate(0o177));
+            let bound = UnixListener::bind(path);
+            rustix::process::umask(before);
+            bound
+        };
+        let mut listener = match bind() {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => {
+                if std::os::unix::net::UnixStream::connect(path).is_ok() {
+                    return Err(io::Error::new(e.kind(), "another process answers there"));
+                }
+                std::fs::remove_file(path)?;
+                bind()?
+            }
+            other => other?,
+        };
+        registry.register(&mut listener, DOOR, Interest::READABLE)?;
+        Ok(Desk { listener, path: path.to_owned(), visitors: [None, None, None, None] })
+    }
+
+    /// Which visitor a token is; the door is none of them.
+    pub fn whose(token: Token) -> Option<Option<usize>> {
+        match token {
+            DOOR => Some(None),
+            Token(at) if at <= FIRST && at > FIRST - VISITORS => Some(Some(FIRST - at)),
+            _ => None,
+        }
+    }
+
+    /// Takes visitors in.
+    pub fn accept(&mut self, registry: &Registry) {
+        while let Ok((mut socket, _)) = self.listener.accept() {
+            // With no place free it is dropped, and so hung up on.
+            if let Some(place) = self.visitors.iter().position(Option::is_none) {
+                let token = Token(FIRST - place);
+                if registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE).is_ok() {
+                    self.visitors[place] =
+                        Some(Visitor { socket, said: Vec::new(), out: Vec::new(), leaving: false });
+                }
+            }
+        }
+    }
+
+    /// What a visitor has asked by now, line by line.
+    pub fn read(&mut self, place: usize) -> Vec<String> {
+        let Some(visitor) = &mut self.visitors[place] else { return Vec::new() };
+        let mut some = [0; 1024];
+        let mut ended = false;
+        loop {
+            match visitor.socket.read(&mut some) {
+                Ok(0) => ended = true,
+                Ok(n) if visitor.said.len() + n <= LONGEST_LINE => {
+                    visitor.said.extend_from_slice(&some[..n]);
+                    continue;
+                }
+                Ok(_) => ended = true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => ended = true,
+            }
+            break;
+        }
+        let mut asked = Vec::new();
+        while let Some(end) = visitor.said.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = visitor.said.drain(..=end).collect();
+            asked.push(String::from_utf8_lossy(&line).trim_end().to_owned());
+        }
+        if ended && asked.is_empty() && visitor.out.is_empty() {
+            self.visitors[place] = None;
+        } else if ended {
+            visitor.leaving = true;
+        }
+        asked
+    }
+
+    pub fn answer(&mut self, place: usize, text: &str) {
+        if let Some(visitor) = &mut self.visitors[place] {
+            visitor.out.extend_from_slice(text.as_bytes());
+            self.flush(place);
+        }
+    }
+
+    /// Writes what waits; a visitor that has gone is forgotten.
+    pub fn flush(&mut self, place: usize) {
+        let Some(visitor) = &mut self.visitors[place] else { return };
+        let mut gone = 0;
+        let mut broken = false;
+        while gone < visitor.out.len() {
+            match visitor.socket.write(&visitor.out[gone..]) {
+                Ok(n) if n > 0 => gone += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                _ => {
+                    broken = true;
+                    break;
+                }
+            }
+        }
+        visitor.out.drain(..gone);
+        if broken || visitor.leaving && visitor.out.is_empty() {
+            self.visitors[place] = None;
+        }
+    }
+}
+
+impl Drop for Desk {
+    /// The socket's file goes with its process.
+    fn drop(&mut self) {
+        // Where it was taken away already there is nothing to do.
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
--- /dev/null
+++ b/crates/dewhead-proxy/src/control/words.rs
@@ -0,0 +1,64 @@
+//! What is said on the control socket. Pure functions, with no socket.
+
+use serde_json::{json, Value};
+
+/// The version of requests and answers; one that is not known is refused.
+pub const VERSION: u64 = 1;
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Request {
+    Status,
+    Connections,
+    /// Send all clients away over so many seconds, and take no new ones from fronts.
+    Drain(Option<f64>),
+    Undrain,
+    Reload,
+}
+
+/// The longest time over which a drain can be spread, in seconds.
+const LONGEST_SPREAD: f64 = 3600.0;
+
+/// Reads a request; a fault is one line that says what is wrong.
+pub fn request(line: &str) -> Result<Request, String> {
+    let value: Value = serde_json::from_str(line).map_err(|_| "a request is one line of JSON".to_owned())?;
+    let version = value.get("version").and_then(Value::as_u64).unwrap_or(VERSION);
+    if version != VERSION {
+        return Err(format!("version {version} is not spoken here, {VERSION} is"));
+    }
+    match value.get("do").and_then(Value::as_str) {
+        Some("status") => Ok(Request::Status),
+        Some("connections") => Ok(Request::Connections),
+        Some("drain") => match value.get("seconds") {
+            None | Some(Value::Null) => Ok(Request::Drain(None)),
+            Some(told) => match told.as_f64().filter(|s| (0.0..=LONGEST_SPREAD).contains(s)) {
+                Some(seconds) => Ok(Request::Drain(Some(seconds))),
+                None => Err(format!("field 'seconds' is not a number from 0 to {LONGEST_SPREAD}")),
+            },
+        },
+        Some("undrain") => Ok(Request::Undrain),
+        Some("reload") => Ok(Request::Reload),
+        Some(other) => Err(format!("field 'do' names unknown '{other}'")),
+        None => Err("field 'do' is missing".to_owned()),
+    }
+}
+
+/// A request as the command line sends it.
+pub fn line(action: &str, seconds: Option<f64>) -> String {
+    match seconds {
+        Some(seconds) => format!("{}\n", json!({"version": VERSION, "do": action, "seconds": seconds})),
+        None => format!("{}\n", json!({"version": VERSION, "do": action})),
+    }
+}
+
+/// An answer: what was asked for, or what is wrong.
+pub fn answer(outcome: Result<Value, String>) -> String {
+    let mut value = match outcome {
+        Ok(value) => value,
+        Err(fault) => return format!("{}\n", json!({"version": VERSION, "ok": false, "fault": fault})),
+    };
+    if let Some(fields) = value.as_object_mut() {
+        fields.insert("version".into(), VERSION.into());
+        fields.insert("ok".into(), true.into());
+    }
+    format!("{value}\n")
+}
--- a/crates/dewhead-proxy/src/lib.rs
+++ b/crates/dewhead-proxy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The dewhead proxy. `lifecycle` starts and stops it, `turn` moves bytes between sockets, `wire` knows what is
-//! spoken, and every change of what `memory` keeps goes through `reducer`.
+//! spoken, `control` answers operators, and every change of what `memory` keeps goes through `reducer`.
 
+pub mod control;
 pub mod lifecycle;
 pub mod memory;
 pub mod reducer;
--- a/crates/dewhead-proxy/src/lifecycle/command.rs
+++ b/crates/dewhead-proxy/src/lifecycle/command.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use super::configuration::Configuration;
+use crate::control::ask;
 use argh::FromArgs;
 use std::path::PathBuf;
 
@@ -16,6 +17,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Ctl(Ctl),
     Version(Version),
 }
 
@@ -37,6 +39,45 @@
     config: Option<PathBuf>,
 }
 
+/// Ask a running proxy, or tell it what to do, over its control socket.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "ctl")]
+struct Ctl {
+    /// status, connections, drain, undrain or reload
+    #[argh(positional)]
+    action: String,
+    /// the control socket; the one that the configuration names if not given
+    #[argh(option)]
+    socket: Option<PathBuf>,
+    /// the configuration; the file that LB_CONFIG names if not given
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// for drain: over how many seconds clients are sent away
+    #[argh(option)]
+    seconds: Option<f64>,
+    /// print the answer as it came, one line of JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl Ctl {
+    fn carry_out(&self) -> Result<(), String> {
+        let socket = match &self.socket {
+            Some(path) => path.clone(),
+            None => Configuration::load(self.config.as_deref())?
+                .control
+                .ok_or("no control socket: give --socket, or set field 'control' in the configuration")?,
+        };
+        let answer = ask::ask(&socket, &self.action, self.seconds)?;
+        if self.json {
+            println!("{answer}");
+        } else {
+            print!("{}", ask::plainly(&answer));
+        }
+        Ok(())
+    }
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -54,6 +95,7 @@
             println!("{} would serve on {}", read.name, read.listen);
             Ok(())
         }
+        Command::Ctl(ctl) => ctl.carry_out(),
         Command::Version(_) => {
             println!("dewhead {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/dewhead-proxy/src/lifecycle/configuration.rs
+++ b/crates/dewhead-proxy/src/lifecycle/configuration.rs
@@ -5,7 +5,7 @@
 use dewhead_startup::Startup;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Kept of the memory limit for what is not an end of a session: the program, the list, the watch.
 const MEMORY_KEPT: u64 = 6 << 20;
@@ -24,6 +24,8 @@
     /// The list of servers as it was last had.
     pub remembered: Value,
     pub startup: Startup,
+    /// Where operators ask and tell; nowhere if not told.
+    pub control: Option<PathBuf>,
     pub fixed: Fixed,
 }
 
@@ -36,7 +38,7 @@
         let one = |name: &str| (name.to_owned(), told[name].clone());
         let parts = told["settings"].as_object().into_iter().flatten();
         let parts = parts.map(|(name, part)| (format!("settings.{name}"), part.clone()));
-        Fixed(["name", "listen", "seed"].map(one).into_iter().chain(parts).collect())
+        Fixed(["name", "listen", "seed", "control"].map(one).into_iter().chain(parts).collect())
     }
 
     /// The keys that another has otherwise, or not at all, or alone.
@@ -100,6 +102,7 @@
             descriptors: descriptors as usize,
             remembered,
             startup,
+            control: maybe(told, "control", text)?.map(PathBuf::from),
             fixed: Fixed::of(told),
         })
     }
--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -2,11 +2,15 @@
 
 mod command;
 pub mod configuration;
+pub mod notify;
+pub mod stages;
 
 use crate::reducer::Reducer;
 use crate::turn::{Clock, Turn};
 use configuration::{Configuration, Fixed};
 use log::{error, info, warn};
+use mio::net::TcpListener;
+use notify::Notify;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -41,16 +45,41 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
-    let Configuration { name, listen, discovery, seed, descriptors, remembered, startup, fixed } = read;
+    let Configuration { name, listen, discovery, seed, descriptors, remembered, startup, control, fixed } =
+        read;
     let clock = Clock::start();
     let reducer = Reducer::new(clock.now(), startup, seed, discovery, descriptors, &remembered);
     let renewed = Box::new(move || renew(path.as_deref(), &fixed));
-    let mut turn = Turn::new(clock, reducer, listen, stops, (renewals, renewed))
+    let listener = listener(listen)?;
+    let mut turn = Turn::new(clock, reducer, listener, stops, (renewals, renewed))
         .map_err(|e| format!("{listen}: {e}"))?;
+    turn.notify = Notify::from_environment();
+    if let Some(path) = control {
+        turn.open_desk(&path).map_err(|e| format!("control: {}: {e}", path.display()))?;
+    }
     info!("{name} serves on {listen}, with {descriptors} descriptors at most");
     turn.run().map_err(|e| format!("the loop: {e}"))
 }
 
+/// The listening socket: the first that a service manager hands on, or one of our own.
+fn listener(at: SocketAddr) -> Result<TcpListener, String> {
+    let fault = |e| format!("{at}: {e}");
+    let inherited = listenfd::ListenFd::from_env().take_tcp_listener(0);
+    match inherited.map_err(|e| format!("LISTEN_FDS: the socket handed on is not understood: {e}"))? {
+        Some(socket) => {
+            let own = socket.local_addr().map_err(|e| format!("LISTEN_FDS: {e}"))?;
+            if own != at {
+                return Err(format!(
+                    "LISTEN_FDS: the socket handed on is at {own}, and field 'listen' names {at}"
+                ));
+            }
+            socket.set_nonblocking(true).map_err(fault)?;
+            Ok(TcpListener::from_std(socket))
+        }
+        None => TcpListener::bind(at).map_err(fault),
+    }
+}
+
 /// Reads the configuration again; a faulty one changes nothing.
 fn renew(path: Option<&Path>, running: &Fixed) -> Option<(SocketAddr, usize)> {
     let read = Configuration::load(path)
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -5,6 +5,7 @@
 mod door;
 mod legs;
 mod standing;
+mod status;
 mod stopping;
 mod watch;
 
@@ -54,6 +55,9 @@
     Tick,
     /// To stop, politely.
     Stop,
+    /// To send all clients away over so many seconds and answer no front's `PING`, but not to end; and to serve again.
+    Drain(f64),
+    Undrain,
     /// A new configuration holds: where discovery is now, and the most descriptors.
     Renewed(SocketAddr, usize),
 }
@@ -158,7 +162,10 @@
     timers: Timers<Due>,
     serial: u64,
     watch: Watch,
+    /// Since when clients are sent away, and over how long; and whether the process ends with the last.
     stopping: Option<f64>,
+    spread: f64,
+    ends: bool,
     descriptors: Descriptors,
     chance: Rand64,
     effects: Vec<Effect>,
@@ -202,6 +209,8 @@
             serial: 0,
             watch: Watch::of(discovery),
             stopping: None,
+            spread: 0.5 * longest_guard,
+            ends: false,
             descriptors: Descriptors { used: FIXED, most: most_descriptors, accepting: true },
             chance: Rand64::new(seed ^ 1),
             effects: Vec::new(),
@@ -240,6 +249,11 @@
         (self.sessions.len(), self.legs.len(), self.descriptors.used - FIXED)
     }
 
+    /// Whether servers are known.
+    pub fn holds_list(&self) -> bool {
+        !self.servers.0.is_empty()
+    }
+
     pub fn effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
     }
@@ -275,6 +289,8 @@
                 }
             }
             Event::Stop => self.stop(now),
+            Event::Drain(spread) => self.drain(now, spread),
+            Event::Undrain => self.undrain(),
             Event::Renewed(discovery, most) => {
                 self.descriptors.most = most;
                 self.make_room(now);
@@ -283,7 +299,8 @@
             }
         }
         self.settle(now);
-        if self.stopping.is_some_and(|at| now >= at + STILL_COMING) && self.sessions.is_empty() {
+        let all_came = self.stopping.is_some_and(|at| now >= at + STILL_COMING);
+        if self.ends && all_came && self.sessions.is_empty() {
             self.effects.push(Effect::Exit);
         }
     }
--- /dev/null
+++ b/crates/dewhead-proxy/src/reducer/status.rs
@@ -0,0 +1,63 @@
+//! What operators are told of the state; nothing is changed here.
+
+use super::Reducer;
+use crate::memory::sessions::Stage;
+use dewhead::terms::State;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// So many connections are told one by one at the most.
+const TOLD: usize = 1000;
+
+fn name(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Greeting => "greeting",
+        Stage::Waiting => "waiting",
+        Stage::Returning => "returning",
+        Stage::Standing => "standing",
+        Stage::Parting => "parting",
+    }
+}
+
+impl Reducer {
+    /// Counts, and the list as it is held. Ages are seconds.
+    pub fn status(&self, now: f64) -> Value {
+        let mut stages: BTreeMap<&str, usize> = BTreeMap::new();
+        for (_, session) in &self.sessions {
+            *stages.entry(name(session.stage)).or_default() += 1;
+        }
+        let mut held: BTreeMap<u32, usize> = BTreeMap::new();
+        for (_, leg) in &self.legs {
+            *held.entry(leg.server).or_default() += 1;
+        }
+        let ready = self.servers.0.values().filter(|s| s.state == State::Ready).count();
+        let servers = self.servers.0.iter().map(|(id, server)| {
+            let state = match server.state {
+                State::Ready => "ready",
+                State::Draining => "draining",
+                State::Gone => "gone",
+            };
+            json!({"server": id, "at": server.dial.map(|d| d.to_string()), "state": state,
+                   "connections": held.get(id).copied().unwrap_or(0)})
+        });
+        json!({
+            "sessions": self.sessions.len(), "by_stage": stages, "legs": self.legs.len(),
+            "descriptors": self.descriptors.used, "descriptors_most": self.descriptors.most,
+            "accepting": self.descriptors.accepting, "uptime": ((now - self.began) * 1e3).round() / 1e3,
+            "list_version": self.watch.version, "watch_open": self.watch.answer.is_some(),
+            "watch_failures": self.watch.failures, "discovery": self.watch.discovery.to_string(),
+            "servers_known": self.servers.0.len(), "servers_ready": ready, "servers": servers.collect::<Vec<_>>()
+        })
+    }
+
+    /// Sessions one by one, the first thousand of them.
+    pub fn connections(&self) -> Value {
+        let one = |(key, session): (usize, &crate::memory::sessions::Session)| {
+            let server = session.legs.first().and_then(|(_, leg)| self.legs.get(*leg)).map(|leg| leg.server);
+            json!({"slot": key, "stage": name(session.stage), "server": server, "legs": session.sent,
+                   "traffic": self.known.traffic.get(session.traffic)})
+        };
+        let told: Vec<Value> = self.sessions.iter().take(TOLD).map(one).collect();
+        json!({"sessions": self.sessions.len(), "told": told.len(), "connections": told})
+    }
+}
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -1,6 +1,10 @@
 //! The loop: what the sockets have becomes events, and effects become reads and writes. One clock read a turn, and
 //! discovery's events before all others.
 
+use crate::control::desk::Desk;
+use crate::control::words::{self, Request};
+use crate::lifecycle::notify::{Notify, Word};
+use crate::lifecycle::stages::{Act, Life, Stage, Told};
 use crate::memory::links::Link;
 use crate::reducer::{Effect, End, Event, How, Reducer};
 use crate::wire::http;
@@ -57,6 +61,10 @@
     renewals: UnixStream,
     /// Reads it; none if it is faulty and nothing changes.
     renewed: Renewed,
+    /// The stage that the process is in, who is told of it, and where operators ask.
+    life: Life,
+    pub notify: Notify,
+    desk: Option<Desk>,
     watch: Option<Link>,
     /// Sockets by slot; one leaves with `Effect::Close`.
     clients: Vec<Option<Link>>,
@@ -96,12 +104,11 @@
     pub fn new(
         clock: Clock,
         reducer: Reducer,
-        listen: SocketAddr,
+        mut listener: TcpListener,
         signals: std::os::unix::net::UnixStream,
         (renewals, renewed): (std::os::unix::net::UnixStream, Renewed),
     ) -> io::Result<Turn> {
         let poll = Poll::new()?;
-        let mut listener = TcpListener::bind(listen)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let heard = |told: std::os::unix::net::UnixStream, token| {
             told.set_nonblocking(true)?;
@@ -118,6 +125,9 @@
             signals,
             renewals,
             renewed,
+            life: Life::default(),
+            notify: Notify::silent(),
+            desk: None,
             watch: None,
             clients: Vec::new(),
             servers: Vec::new(),
@@ -137,9 +147,13 @@
         let mut events = Events::with_capacity(1024);
         let now = self.clock.now();
         self.apply(now, &[]);
+        self.live(now, Told::List(self.reducer.holds_list()));
+        self.live(now, Told::Listens);
         while !self.exit {
+            self.notify.turn(self.clock.now());
             let accept = self.accept_from.filter(|_| self.accepting);
-            let due = self.reducer.next_due().into_iter().chain(accept).reduce(f64::min);
+            let due =
+                self.reducer.next_due().into_iter().chain(accept).chain(self.notify.due()).reduce(f64::min);
             let wait = match due {
                 _ if !self.again.is_empty() => Some(Duration::ZERO),
                 Some(at) => Some(Duration::from_secs_f64((at - self.clock.now()).clamp(0.0, 60.0))),
@@ -162,18 +176,18 @@
                     LISTENER => self.accept_from = Some(now),
                     SIGNALS => {
                         empty(&mut self.signals);
-                        self.tell(now, Event::Stop, &[]);
+                        self.live(now, Told::Stop);
                     }
                     RENEWALS => {
                         // Signals that came close together are one.
                         empty(&mut self.renewals);
-                        if let Some((discovery, most)) = (self.renewed)() {
-                            self.tell(now, Event::Renewed(discovery, most), &[]);
-                        }
+                        self.live(now, Told::Renew);
                     }
                     WATCH => {}
                     other => {
-                        if let Some(end) = end_of(other) {
+                        if let Some(whose) = Desk::whose(other) {
+                            self.visited(now, whose);
+                        } else if let Some(end) = end_of(other) {
                             self.ready(
                                 now,
                                 end,
@@ -197,6 +211,80 @@
         Ok(())
     }
 
+    /// Opens the control socket.
+    pub fn open_desk(&mut self, path: &std::path::Path) -> io::Result<()> {
+        self.desk = Some(Desk::open(path, self.poll.registry())?);
+        Ok(())
+    }
+
+    /// The life goes on, and what it asks for is done.
+    fn live(&mut self, now: f64, told: Told) {
+        for act in self.life.told(told) {
+            match act {
+                Act::TellReady => self.notify.tell(Word::Ready),
+                Act::TellReloading => self.notify.tell(Word::Reloading),
+                Act::TellStopping => self.notify.tell(Word::Stopping),
+                Act::TellStage => {
+                    let stage = self.life.stage().name();
+                    info!(stage; "the process is {stage}");
+                    self.notify.tell(Word::Status(stage));
+                }
+                Act::ReadAgain => {
+                    if let Some((discovery, most)) = (self.renewed)() {
+                        self.tell(now, Event::Renewed(discovery, most), &[]);
+                    }
+                    self.live(now, Told::Renewed);
+                }
+                // How long the drain takes was told with it.
+                Act::Drain => {}
+                Act::Undrain => self.tell(now, Event::Undrain, &[]),
+                Act::Stop => self.tell(now, Event::Stop, &[]),
+            }
+        }
+    }
+
+    /// Somebody is at the control socket.
+    fn visited(&mut self, now: f64, whose: Option<usize>) {
+        let Some(desk) = &mut self.desk else { return };
+        let Some(place) = whose else { return desk.accept(self.poll.registry()) };
+        desk.flush(place);
+        for line in desk.read(place) {
+            let outcome = words::request(&line).and_then(|request| self.asked(now, request));
+            if let Some(desk) = &mut self.desk {
+                desk.answer(place, &words::answer(outcome));
+            }
+        }
+    }
+
+    fn asked(&mut self, now: f64, request: Request) -> Result<serde_json::Value, String> {
+        let refused = |stage: Stage| format!("not while the process is {}", stage.name());
+        let stage = self.life.stage();
+        match request {
+            Request::Status => {}
+            Request::Connections => return Ok(self.reducer.connections()),
+            Request::Drain(seconds) => {
+                if !matches!(stage, Stage::Ready | Stage::Waiting) {
+                    return Err(refused(stage));
+                }
+                self.live(now, Told::Drain);
+                let spread = seconds.unwrap_or_else(|| self.reducer.usual_spread());
+                self.tell(now, Event::Drain(spread), &[]);
+            }
+            Request::Undrain => {
+                if stage != Stage::Draining {
+                    return Err(refused(stage));
+                }
+                self.live(now, Told::Undrain);
+            }
+            Request::Reload => self.live(now, Told::Renew),
+        }
+        let mut status = self.reducer.status(now);
+        status["stage"] = self.life.stage().name().into();
+        status["build"] = env!("CARGO_PKG_VERSION").into();
+        status["process"] = std::process::id().into();
+        Ok(status)
+    }
+
     fn link(&mut self, end: End) -> Option<&mut Link> {
         match end {
             End::Client(slot) => self.clients.get_mut(slot)?.as_mut(),
@@ -374,8 +462,12 @@
     }
 
     fn tell(&mut self, now: f64, event: Event, bytes: &[u8]) {
+        let news = matches!(event, Event::Watch(_));
         self.reducer.step(now, event);
         self.apply(now, bytes);
+        if news {
+            self.live(now, Told::List(self.reducer.holds_list()));
+        }
     }
 
     /// Carries out what the reducer asks for; `bytes` are those of the event.
@@ -413,6 +505,7 @@
                 Effect::Unfollow => self.watch = None,
                 Effect::Exit => {
                     if !std::mem::replace(&mut self.exit, true) {
+                        self.live(now, Told::Over);
                         info!("stopped");
                     }
                 }
