Handover: a new process takes the listening socket and what was learned from the old

Need: each restart closes the door for seconds and the one that comes back learns its limits by losing connections.

Once it says that it has taken the place, the old one accepts no more and sends its clients away over the time told (--leave-in). dewhead ctl handover [--program PATH] has the running process start its successor. Until the place is taken nothing changes: a successor that fails or dies leaves the old one serving.

--- a/crates/dewhead-lab/src/plain.rs
+++ b/crates/dewhead-lab/src/plain.rs
@@ -827,7 +827,7 @@
             }
             Event::Stop => self.stop(now),
             // Only a proxy with a control socket is told these.
-            Event::Drain(_) | Event::Undrain => {}
+            Event::Drain(_) | Event::Undrain | Event::Retire(_) => {}
             Event::Renewed(discovery, _) => {
                 (self.discovery, self.version, self.answer) = (discovery, 0, None);
                 self.follow(now);
--- a/crates/dewhead-proxy/src/control/desk.rs
+++ b/crates/dewhead-proxy/src/control/desk.rs
@@ -3,7 +3,9 @@
 
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
-use std::io::{self, Read, Write};
+use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
+use std::io::{self, IoSlice, Read, Write};
+use std::os::fd::BorrowedFd;
 use std::path::{Path, PathBuf};
 
 /// Visitors at a time; more are hung up on.
@@ -23,7 +25,8 @@
 
 pub struct Desk {
     listener: UnixListener,
-    path: PathBuf,
+    /// The socket's file, while it is this process's.
+    path: Option<PathBuf>,
     /// A visitor's place is given back when it hangs up, or when it says more than a line may be long.
     visitors: [Option<Visitor>; VISITORS],
 }
@@ -49,7 +52,7 @@
             other => other?,
         };
         registry.register(&mut listener, DOOR, Interest::READABLE)?;
-        Ok(Desk { listener, path: path.to_owned(), visitors: [None, None, None, None] })
+        Ok(Desk { listener, path: Some(path.to_owned()), visitors: [None, None, None, None] })
     }
 
     /// Which visitor a token is; the door is none of them.
@@ -114,6 +117,34 @@
         }
     }
 
+    /// Answers, and hands a descriptor over with it.
+    pub fn answer_with(&mut self, place: usize, text: &str, handed: BorrowedFd) -> io::Result<()> {
+        let Some(visitor) = &mut self.visitors[place] else { return Ok(()) };
+        let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        let handed = [handed];
+        control.push(SendAncillaryMessage::ScmRights(&handed));
+        let parts = [IoSlice::new(text.as_bytes())];
+        let gone = sendmsg(&visitor.socket, &parts, &mut control, SendFlags::NOSIGNAL)?;
+        visitor.out.extend_from_slice(&text.as_bytes()[gone..]);
+        Ok(())
+    }
+
+    /// Whether somebody is at this place still.
+    pub fn holds(&self, place: usize) -> bool {
+        self.visitors[place].as_ref().is_some_and(|v| !v.leaving)
+    }
+
+    /// Takes in nobody new, and leaves the socket's file to who comes after.
+    pub fn close_door(&mut self, registry: &Registry) {
+        // One that can't be taken out of the poll is dropped with the desk.
+        let _ = registry.deregister(&mut self.listener);
+        if let Some(path) = self.path.take() {
+            // Taken away already, it needs no taking away.
+            let _ = std::fs::remove_file(path);
+        }
+    }
+
     /// Writes what waits; a visitor that has gone is forgotten.
     pub fn flush(&mut self, place: usize) {
         let Some(visitor) = &mut self.visitors[place] else { return };
@@ -140,7 +171,9 @@
 impl Drop for Desk {
     /// The socket's file goes with its process.
     fn drop(&mut self) {
-        // Where it was taken away already there is nothing to do.
-        let _ = std::fs::remove_file(&self.path);
+        if let Some(path) = &self.path {
+            // Where it was taken away already there is nothing to do.
+            let _ = std::fs::remove_file(path);
+        }
     }
 }
--- a/crates/dewhead-proxy/src/control/words.rs
+++ b/crates/dewhead-proxy/src/control/words.rs
@@ -5,7 +5,7 @@
 /// The version of requests and answers; one that is not known is refused.
 pub const VERSION: u64 = 1;
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, PartialEq, Debug)]
 pub enum Request {
     Status,
     Connections,
@@ -13,6 +13,12 @@
     Drain(Option<f64>),
     Undrain,
     Reload,
+    /// Start another process that takes this one's place; from whom that comes, the path of its program.
+    Handover(Option<String>),
+    /// From that process: to be given the listening socket and what was learned; then that it is ready, and over how
+    /// many seconds the standing clients leave.
+    Succeed,
+    Succeeded(Option<f64>),
 }
 
 /// The longest time over which a drain can be spread, in seconds.
@@ -28,13 +34,14 @@
     match value.get("do").and_then(Value::as_str) {
         Some("status") => Ok(Request::Status),
         Some("connections") => Ok(Request::Connections),
-        Some("drain") => match value.get("seconds") {
-            None | Some(Value::Null) => Ok(Request::Drain(None)),
-            Some(told) => match told.as_f64().filter(|s| (0.0..=LONGEST_SPREAD).contains(s)) {
-                Some(seconds) => Ok(Request::Drain(Some(seconds))),
-                None => Err(format!("field 'seconds' is not a number from 0 to {LONGEST_SPREAD}")),
-            },
+        Some("drain") => Ok(Request::Drain(seconds(&value)?)),
+        Some("handover") => match value.get("program") {
+            None | Some(Value::Null) => Ok(Request::Handover(None)),
+            Some(Value::String(path)) => Ok(Request::Handover(Some(path.clone()))),
+            Some(_) => Err("field 'program' is not a text".to_owned()),
         },
+        Some("succeed") => Ok(Request::Succeed),
+        Some("succeeded") => Ok(Request::Succeeded(seconds(&value)?)),
         Some("undrain") => Ok(Request::Undrain),
         Some("reload") => Ok(Request::Reload),
         Some(other) => Err(format!("field 'do' names unknown '{other}'")),
@@ -42,12 +49,26 @@
     }
 }
 
+fn seconds(of: &Value) -> Result<Option<f64>, String> {
+    match of.get("seconds") {
+        None | Some(Value::Null) => Ok(None),
+        Some(told) => match told.as_f64().filter(|s| (0.0..=LONGEST_SPREAD).contains(s)) {
+            Some(seconds) => Ok(Some(seconds)),
+            None => Err(format!("field 'seconds' is not a number from 0 to {LONGEST_SPREAD}")),
+        },
+    }
+}
+
 /// A request as the command line sends it.
-pub fn line(action: &str, seconds: Option<f64>) -> String {
-    match seconds {
-        Some(seconds) => format!("{}\n", json!({"version": VERSION, "do": action, "seconds": seconds})),
-        None => format!("{}\n", json!({"version": VERSION, "do": action})),
+pub fn line(action: &str, seconds: Option<f64>, program: Option<&str>) -> String {
+    let mut value = json!({"version": VERSION, "do": action});
+    if let Some(seconds) = seconds {
+        value["seconds"] = seconds.into();
+    }
+    if let Some(program) = program {
+        value["program"] = program.into();
     }
+    format!("{value}\n")
 }
 
 /// An answer: what was asked for, or what is wrong.
--- a/crates/dewhead-proxy/src/lifecycle/command.rs
+++ b/crates/dewhead-proxy/src/lifecycle/command.rs
@@ -28,6 +28,12 @@
     /// the configuration; the file that LB_CONFIG names if not given
     #[argh(option)]
     config: Option<PathBuf>,
+    /// take the place of the process with this control socket: its listening socket and what it has learned
+    #[argh(option)]
+    take_over: Option<PathBuf>,
+    /// with --take-over: over how many seconds that process sends its clients away
+    #[argh(option)]
+    leave_in: Option<f64>,
 }
 
 /// Read a configuration and say what is wrong with it, without serving.
@@ -43,7 +49,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "ctl")]
 struct Ctl {
-    /// status, connections, drain, undrain or reload
+    /// status, connections, drain, undrain, reload or handover
     #[argh(positional)]
     action: String,
     /// the control socket; the one that the configuration names if not given
@@ -55,6 +61,9 @@
     /// for drain: over how many seconds clients are sent away
     #[argh(option)]
     seconds: Option<f64>,
+    /// for handover: the program that takes the place; the running one's own if not given
+    #[argh(option)]
+    program: Option<String>,
     /// print the answer as it came, one line of JSON
     #[argh(switch)]
     json: bool,
@@ -68,7 +77,7 @@
                 .control
                 .ok_or("no control socket: give --socket, or set field 'control' in the configuration")?,
         };
-        let answer = ask::ask(&socket, &self.action, self.seconds)?;
+        let answer = ask::ask(&socket, &self.action, self.seconds, self.program.as_deref())?;
         if self.json {
             println!("{answer}");
         } else {
@@ -89,7 +98,7 @@
 
 pub fn carry_out(line: &Line) -> Result<(), String> {
     match &line.command {
-        Command::Serve(serve) => super::serve(serve.config.clone()),
+        Command::Serve(serve) => super::serve(serve.config.clone(), serve.take_over.clone(), serve.leave_in),
         Command::Check(check) => {
             let read = Configuration::load(check.config.as_deref())?;
             println!("{} would serve on {}", read.name, read.listen);
--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -5,8 +5,11 @@
 pub mod notify;
 pub mod stages;
 
+use crate::control::ask::Predecessor;
+use crate::memory::known;
 use crate::reducer::Reducer;
 use crate::turn::{Clock, Turn};
+use crate::wire::listing::listing;
 use configuration::{Configuration, Fixed};
 use log::{error, info, warn};
 use mio::net::TcpListener;
@@ -15,6 +18,7 @@
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
 
 /// Runs the program; what it returns is the exit code.
 pub fn run() -> i32 {
@@ -38,7 +42,7 @@
     Ok(hears)
 }
 
-fn serve(path: Option<PathBuf>) -> Result<(), String> {
+fn serve(path: Option<PathBuf>, take_over: Option<PathBuf>, leave_in: Option<f64>) -> Result<(), String> {
     // Before anything that takes time: a signal that nobody hears ends the process.
     let (stops, renewals) = (heard(&[SIGTERM, SIGINT])?, heard(&[SIGHUP])?);
     let read = Configuration::load(path.as_deref())?;
@@ -48,19 +52,64 @@
     let Configuration { name, listen, discovery, seed, descriptors, remembered, startup, control, fixed } =
         read;
     let clock = Clock::start();
-    let reducer = Reducer::new(clock.now(), startup, seed, discovery, descriptors, &remembered);
+    // From here on the other process serves until it is told that its place is taken; a fault before leaves it serving.
+    let before = take_over.as_deref().map(Predecessor::ask).transpose()?;
+    let handed = before.as_ref().and_then(|b| known::read(&b.handed));
+    if before.is_some() && handed.is_none() {
+        warn!("what was handed on is of another version, and left aside");
+    }
+    let newest = handed.as_ref().map_or(&remembered, |h| &h.list);
+    // What another build has written is bad input like any other.
+    let newest = if listing(newest, &startup.known.zones).is_ok() { newest } else { &remembered };
+    let mut reducer = Reducer::new(clock.now(), startup, seed, discovery, descriptors, newest);
+    if let Some(handed) = &handed {
+        reducer.take_up(clock.now(), handed);
+    }
+    let listener = match before {
+        Some(before) => {
+            let own = before.listener.local_addr().map_err(|e| format!("{listen}: {e}"))?;
+            if own != listen {
+                return Err(format!("the socket taken over is at {own}, and field 'listen' names {listen}"));
+            }
+            // It does not block: that is shared with the process that opened it.
+            TcpListener::from_std(before.succeeded(leave_in)?)
+        }
+        None => listener(listen)?,
+    };
+    let again = path.clone();
     let renewed = Box::new(move || renew(path.as_deref(), &fixed));
-    let listener = listener(listen)?;
     let mut turn = Turn::new(clock, reducer, listener, stops, (renewals, renewed))
         .map_err(|e| format!("{listen}: {e}"))?;
     turn.notify = Notify::from_environment();
-    if let Some(path) = control {
-        turn.open_desk(&path).map_err(|e| format!("control: {}: {e}", path.display()))?;
+    if take_over.is_some() {
+        turn.notify.tell(notify::Word::Process);
+    }
+    if let Some(control) = control {
+        match turn.open_desk(&control) {
+            // The place is taken by now: better to serve without it than not to serve.
+            Err(e) if take_over.is_some() => error!("control: {}: {e}", control.display()),
+            other => other.map_err(|e| format!("control: {}: {e}", control.display()))?,
+        }
+        turn.successor = Some(Box::new(move |program| successor(program, again.as_deref(), &control)));
     }
     info!("{name} serves on {listen}, with {descriptors} descriptors at most");
     turn.run().map_err(|e| format!("the loop: {e}"))
 }
 
+/// Starts the process that takes this one's place, by the configuration as it is then.
+fn successor(program: Option<&str>, config: Option<&Path>, control: &Path) -> Result<Child, String> {
+    let program = match program {
+        Some(path) => PathBuf::from(path),
+        None => std::env::current_exe().map_err(|e| format!("this program's place: {e}"))?,
+    };
+    let mut command = Command::new(&program);
+    command.arg("serve").arg("--take-over").arg(control).stdin(Stdio::null());
+    if let Some(path) = config {
+        command.arg("--config").arg(path);
+    }
+    command.spawn().map_err(|e| format!("{}: {e}", program.display()))
+}
+
 /// The listening socket: the first that a service manager hands on, or one of our own.
 fn listener(at: SocketAddr) -> Result<TcpListener, String> {
     let fault = |e| format!("{at}: {e}");
--- a/crates/dewhead-proxy/src/lifecycle/notify.rs
+++ b/crates/dewhead-proxy/src/lifecycle/notify.rs
@@ -10,6 +10,8 @@
     Reloading,
     Stopping,
     Status(&'a str),
+    /// That this is the service's process now.
+    Process,
     /// The loop still turns.
     Alive,
 }
@@ -47,6 +49,7 @@
                 .and_then(|clock| sd_notify::notify(&[NotifyState::Reloading, clock])),
             Word::Stopping => sd_notify::notify(&[NotifyState::Stopping]),
             Word::Status(text) => sd_notify::notify(&[NotifyState::Status(text)]),
+            Word::Process => sd_notify::notify(&[NotifyState::MainPid(std::process::id())]),
             Word::Alive => sd_notify::notify(&[NotifyState::Watchdog]),
         };
         if let Err(e) = told {
--- a/crates/dewhead-proxy/src/lifecycle/stages.rs
+++ b/crates/dewhead-proxy/src/lifecycle/stages.rs
@@ -46,6 +46,8 @@
     Drain,
     Undrain,
     Stop,
+    /// Another process has taken this one's place.
+    Succeeded,
     /// Nothing is open any more, or time is up.
     Over,
 }
@@ -128,7 +130,9 @@
                 acts.extend(self.serving());
                 acts
             }
-            (Stage::Stopping, Told::Stop) => Vec::new(),
+            (Stage::Stopping, Told::Stop | Told::Succeeded) => Vec::new(),
+            // The manager has been told of the other one; this one is no longer its business.
+            (_, Told::Succeeded) => self.to(Stage::Stopping, &[]),
             (_, Told::Stop) => self.to(Stage::Stopping, &[Act::TellStopping, Act::Stop]),
             (Stage::Stopping, Told::Over) => self.to(Stage::Stopped, &[]),
             _ => Vec::new(),
--- /dev/null
+++ b/crates/dewhead-proxy/src/memory/known.rs
@@ -0,0 +1,105 @@
+//! What is known of the servers, in the form in which it is handed on: the list as discovery wrote it, what each server
+//! has shown, and how old that is.
+
+use super::pace::{Kinds, Pace};
+use dewhead::learned::Learned;
+use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
+
+/// The version of what is handed on. Another one is not read: a successor then starts from the list alone.
+pub const VERSION: u64 = 1;
+
+/// The list's entries as they came, by host; one leaves when the list says gone or names it no more.
+#[derive(Default)]
+pub struct Entries(BTreeMap<String, Value>);
+
+impl Entries {
+    pub fn follow(&mut self, whole: bool, told: &Value) {
+        if whole {
+            self.0.clear();
+        }
+        for host in told["hosts"].as_array().into_iter().flatten() {
+            let Some(name) = host["host"].as_str() else { continue };
+            if host["health"] == "gone" {
+                self.0.remove(name);
+            } else {
+                self.0.insert(name.to_owned(), host.clone());
+            }
+        }
+    }
+
+    /// The whole list, in discovery's form.
+    pub fn list(&self, version: u64) -> Value {
+        json!({"seq": version, "whole": true, "hosts": self.0.values().collect::<Vec<_>>()})
+    }
+}
+
+fn pace(pace: &Pace, now: f64) -> Value {
+    let (recent, usual, seen, at) = pace.told();
+    json!([recent, usual, seen, if seen > 0 { now - at } else { 0.0 }])
+}
+
+fn learned(one: &Learned) -> Value {
+    json!({"server": one.server, "started": one.started, "limit": one.limit.map(|l| [l.0, l.1]), "carried": one.carried,
+           "outcomes": one.outcomes, "counted": one.counted, "judged": one.judged})
+}
+
+/// All of it, as of `now` on the Unix clock.
+pub fn write<'a>(
+    now: f64,
+    list: Value,
+    balancer: &[Learned],
+    paces: impl Iterator<Item = (u32, &'a Pace)>,
+    kinds: &Kinds,
+) -> Value {
+    let paces: Map<String, Value> = paces.map(|(id, one)| (id.to_string(), pace(one, now))).collect();
+    json!({"version": VERSION, "at": now, "list": list, "servers": balancer.iter().map(learned).collect::<Vec<_>>(),
+           "paces": paces, "kinds": kinds.told()})
+}
+
+/// What another has handed on. Anything that makes no sense is left out, as if it had not been learned.
+pub struct Handed {
+    pub at: f64,
+    pub list: Value,
+    pub servers: Vec<Learned>,
+    pub paces: BTreeMap<u32, (f64, f64, u32, f64)>,
+    pub kinds: Vec<(u32, f64)>,
+}
+
+fn whole(value: &Value) -> Option<u32> {
+    value.as_u64().and_then(|n| u32::try_from(n).ok())
+}
+
+/// Reads it; none where the version is another.
+pub fn read(told: &Value) -> Option<Handed> {
+    if told["version"].as_u64() != Some(VERSION) {
+        return None;
+    }
+    let one = |value: &Value| {
+        let limit = match &value["limit"] {
+            Value::Null => None,
+            pair => Some((pair[0].as_f64()?, pair[1].as_f64()?)),
+        };
+        Some(Learned {
+            server: whole(&value["server"])?,
+            started: value["started"].as_f64(),
+            limit,
+            carried: value["carried"].as_f64()?,
+            outcomes: whole(&value["outcomes"])?,
+            counted: whole(&value["counted"])?,
+            judged: value["judged"].as_f64()?,
+        })
+    };
+    let pace = |(id, value): (&String, &Value)| {
+        let figures = (value[0].as_f64()?, value[1].as_f64()?, whole(&value[2])?, value[3].as_f64()?);
+        Some((id.parse().ok()?, figures))
+    };
+    let kind = |value: &Value| Some((whole(&value[0])?, value[1].as_f64()?));
+    Some(Handed {
+        at: told["at"].as_f64()?,
+        list: told["list"].clone(),
+        servers: told["servers"].as_array()?.iter().filter_map(one).collect(),
+        paces: told["paces"].as_object()?.iter().filter_map(pace).collect(),
+        kinds: told["kinds"].as_array()?.iter().map(kind).collect::<Option<_>>().unwrap_or_default(),
+    })
+}
--- a/crates/dewhead-proxy/src/memory/pace.rs
+++ b/crates/dewhead-proxy/src/memory/pace.rs
@@ -30,6 +30,18 @@
         Kinds(vec![(0, 0.0); traffic + 1])
     }
 
+    /// What they differ by, to be handed on.
+    pub fn told(&self) -> &[(u32, f64)] {
+        &self.0
+    }
+
+    /// Takes up what another has found, where it knew as many types.
+    pub fn recall(&mut self, told: &[(u32, f64)]) {
+        if told.len() == self.0.len() && told.iter().all(|(_, mean)| mean.is_finite()) {
+            self.0.copy_from_slice(told);
+        }
+    }
+
     /// The set-up's logarithm as it would be for a call of no special kind.
     fn even(&mut self, traffic: usize, took: f64) -> f64 {
         let (log, all) = (took.max(1e-4).ln(), self.0.len() - 1);
@@ -43,6 +55,20 @@
 }
 
 impl Pace {
+    /// Recent and usual times, how many were seen and when the last was.
+    pub fn told(&self) -> (f64, f64, u32, f64) {
+        (self.recent, self.usual, self.seen, self.at)
+    }
+
+    /// One that another has seen, the last set-up `ago` seconds ago; one of its own where the figures make no sense.
+    pub fn recall(now: f64, (recent, usual, seen, ago): (f64, f64, u32, f64)) -> Pace {
+        if [recent, usual].iter().all(|x| x.abs() < 50.0) && ago >= 0.0 && ago.is_finite() {
+            Pace { recent, usual, seen, at: now - ago }
+        } else {
+            Pace::default()
+        }
+    }
+
     /// A set-up was answered at `now`; what is recent fades in `fades` seconds. Returns by how much its server is
     /// slower than set-ups vary by themselves, 0 where it is not, or where both it and we have not run for long: `ran`.
     pub fn set_up(
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -7,6 +7,7 @@
 mod standing;
 mod status;
 mod stopping;
+mod succession;
 mod watch;
 
 use crate::memory::pace::Kinds;
@@ -58,6 +59,8 @@
     /// To send all clients away over so many seconds and answer no front's `PING`, but not to end; and to serve again.
     Drain(f64),
     Undrain,
+    /// Another process serves here from now on: clients leave over so many seconds, then the process ends.
+    Retire(f64),
     /// A new configuration holds: where discovery is now, and the most descriptors.
     Renewed(SocketAddr, usize),
 }
@@ -291,6 +294,7 @@
             Event::Stop => self.stop(now),
             Event::Drain(spread) => self.drain(now, spread),
             Event::Undrain => self.undrain(),
+            Event::Retire(spread) => self.retire(now, spread),
             Event::Renewed(discovery, most) => {
                 self.descriptors.most = most;
                 self.make_room(now);
--- a/crates/dewhead-proxy/src/reducer/stopping.rs
+++ b/crates/dewhead-proxy/src/reducer/stopping.rs
@@ -44,7 +44,7 @@
         self.sessions.iter().filter(|(_, s)| s.stage == Stage::Standing).map(|(key, _)| key).collect()
     }
 
-    fn send_all_away(&mut self, now: f64) {
+    pub(super) fn send_all_away(&mut self, now: f64) {
         self.stopping = Some(now);
         for key in self.standing() {
             let at = self.leave_at(now);
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -1,6 +1,7 @@
 //! Following discovery: the watch and what its lines change.
 
 use super::{Due, Effect, Reducer};
+use crate::memory::known::Entries;
 use crate::memory::sessions::{LegStage, Out};
 use crate::memory::timers::Timer;
 use crate::wire::http::Answer;
@@ -21,8 +22,9 @@
 pub struct Watch {
     pub discovery: SocketAddr,
     pub answer: Option<Answer>,
-    /// The version held.
+    /// The version held, and its entries as they came.
     pub version: u64,
+    pub entries: Entries,
     pub failures: u32,
     /// Whether the timer ends a pause; else it ends a silence.
     pub pausing: bool,
@@ -31,7 +33,15 @@
 
 impl Watch {
     pub fn of(discovery: SocketAddr) -> Watch {
-        Watch { discovery, answer: None, version: 0, failures: 0, pausing: false, timer: None }
+        Watch {
+            discovery,
+            answer: None,
+            version: 0,
+            entries: Entries::default(),
+            failures: 0,
+            pausing: false,
+            timer: None,
+        }
     }
 }
 
@@ -48,7 +58,8 @@
     /// would else be taken for an outdated one, and its list never be taken up. Till it comes the list held stays.
     pub(super) fn follow_elsewhere(&mut self, now: f64, discovery: SocketAddr) {
         let timer = self.watch.timer.take();
-        self.watch = Watch { timer, ..Watch::of(discovery) };
+        let entries = std::mem::take(&mut self.watch.entries);
+        self.watch = Watch { timer, entries, ..Watch::of(discovery) };
         self.follow(now);
     }
 
@@ -104,6 +115,7 @@
         }
         self.watch.version = version;
         self.watch.failures = 0;
+        self.watch.entries.follow(whole || remembered, told);
         let gone = self.servers.follow(whole || remembered, &entries);
         let news = match () {
             () if remembered => News::Remembered,
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -14,6 +14,7 @@
 use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::{Duration, Instant};
 
 const LISTENER: Token = Token(0);
@@ -51,11 +52,15 @@
 /// What of a configuration that was read again changes while the proxy runs: `Event::Renewed` has the same.
 pub type Renewed = Box<dyn FnMut() -> Option<(SocketAddr, usize)>>;
 
+/// Starts a program that takes this process's place, by its path or this one's own.
+pub type Starts = Box<dyn FnMut(Option<&str>) -> Result<std::process::Child, String>>;
+
 pub struct Turn {
     poll: Poll,
     clock: Clock,
     reducer: Reducer,
-    listener: TcpListener,
+    /// None once another process has taken this one's place.
+    listener: Option<TcpListener>,
     /// A byte comes here for each signal to stop, and there for each to read the configuration again.
     signals: UnixStream,
     renewals: UnixStream,
@@ -65,6 +70,11 @@
     life: Life,
     pub notify: Notify,
     desk: Option<Desk>,
+    /// Starts a process to take this one's place; the one that was started, until it is known what became of it; and
+    /// the visitor that has been given the listening socket.
+    pub successor: Option<Starts>,
+    child: Option<std::process::Child>,
+    heir: Option<usize>,
     watch: Option<Link>,
     /// Sockets by slot; one leaves with `Effect::Close`.
     clients: Vec<Option<Link>>,
@@ -121,13 +131,16 @@
             poll,
             clock,
             reducer,
-            listener,
+            listener: Some(listener),
             signals,
             renewals,
             renewed,
             life: Life::default(),
             notify: Notify::silent(),
             desk: None,
+            successor: None,
+            child: None,
+            heir: None,
             watch: None,
             clients: Vec::new(),
             servers: Vec::new(),
@@ -249,11 +262,75 @@
         let Some(place) = whose else { return desk.accept(self.poll.registry()) };
         desk.flush(place);
         for line in desk.read(place) {
-            let outcome = words::request(&line).and_then(|request| self.asked(now, request));
+            let outcome = match words::request(&line) {
+                Ok(Request::Succeed) => match self.hand_on(now, place) {
+                    Ok(()) => continue,
+                    Err(fault) => Err(fault),
+                },
+                Ok(Request::Succeeded(seconds)) => self.retire(now, place, seconds),
+                Ok(request) => self.asked(now, request),
+                Err(fault) => Err(fault),
+            };
             if let Some(desk) = &mut self.desk {
                 desk.answer(place, &words::answer(outcome));
             }
         }
+        if self.heir == Some(place) && !self.desk.as_ref().is_some_and(|d| d.holds(place)) {
+            // It died, or could not start: nothing has changed here.
+            self.heir = None;
+            warn!("the process that was to take this one's place has gone; serving on");
+        }
+        self.reap();
+    }
+
+    /// A process that was started here and has ended leaves nothing behind.
+    fn reap(&mut self) {
+        if let Some(child) = &mut self.child {
+            if !matches!(child.try_wait(), Ok(None)) {
+                self.child = None;
+            }
+        }
+    }
+
+    /// Gives a successor the listening socket and what was learned. Both accept from then on, until it says that it has
+    /// taken the place, or goes.
+    fn hand_on(&mut self, now: f64, place: usize) -> Result<(), String> {
+        let stage = self.life.stage();
+        if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
+            return Err(format!("not while the process is {}", stage.name()));
+        }
+        if self.heir.is_some() {
+            return Err("another process is about to take this one's place".to_owned());
+        }
+        let (Some(listener), Some(desk)) = (&self.listener, &mut self.desk) else {
+            return Err("there is no listening socket to hand on".to_owned());
+        };
+        let answer = words::answer(Ok(serde_json::json!({"handed": self.reducer.hand_on(now)})));
+        desk.answer_with(place, &answer, listener.as_fd())
+            .map_err(|e| format!("the socket can't be handed on: {e}"))?;
+        desk.flush(place);
+        self.heir = Some(place);
+        info!("the listening socket is handed on");
+        Ok(())
+    }
+
+    /// The successor serves: this process accepts no more, and its clients leave over so many seconds.
+    fn retire(&mut self, now: f64, place: usize, seconds: Option<f64>) -> Result<serde_json::Value, String> {
+        if self.heir != Some(place) {
+            return Err("only who was given the listening socket can take the place".to_owned());
+        }
+        self.heir = None;
+        if let Some(mut listener) = self.listener.take() {
+            // Dropped in the next moment, whether the poll lets it go or not.
+            let _ = self.poll.registry().deregister(&mut listener);
+        }
+        if let Some(desk) = &mut self.desk {
+            desk.close_door(self.poll.registry());
+        }
+        self.live(now, Told::Succeeded);
+        let spread = seconds.unwrap_or_else(|| self.reducer.usual_spread());
+        self.tell(now, Event::Retire(spread), &[]);
+        Ok(serde_json::json!({"stage": self.life.stage().name()}))
     }
 
     fn asked(&mut self, now: f64, request: Request) -> Result<serde_json::Value, String> {
@@ -277,11 +354,27 @@
                 self.live(now, Told::Undrain);
             }
             Request::Reload => self.live(now, Told::Renew),
+            Request::Handover(program) => {
+                self.reap();
+                if self.heir.is_some() || self.child.is_some() {
+                    return Err("another process is about to take this one's place".to_owned());
+                }
+                if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
+                    return Err(refused(stage));
+                }
+                let starts = self.successor.as_mut().ok_or("no process can be started here")?;
+                let child = starts(program.as_deref())?;
+                info!(process = child.id(); "a process is started to take this one's place");
+                self.child = Some(child);
+            }
+            // Answered where the visitor is known.
+            Request::Succeed | Request::Succeeded(_) => {}
         }
         let mut status = self.reducer.status(now);
         status["stage"] = self.life.stage().name().into();
         status["build"] = env!("CARGO_PKG_VERSION").into();
         status["process"] = std::process::id().into();
+        status["handing_over"] = (self.heir.is_some() || self.child.is_some()).into();
         Ok(status)
     }
 
@@ -298,7 +391,8 @@
             if !self.accepting {
                 break;
             }
-            match self.listener.accept() {
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
                 Ok((socket, _)) => {
                     self.accept_failed = false;
                     self.fresh = Some(socket);
