Coming home asks for clear room, and cold servers are filled four times as fast

Homecoming asked Eq. 1 at the whole price of crossing, where home and abroad lie level, so that who came home went abroad again as often. On release, nodes that had just started held 0.05 to 0.2 of what they could hold at that moment, while the warm ones stood at 1.0 and calls were turned away: rule 4's budget was half of a reckoning that spreads what a warm server holds over the whole warm-up.

Change (rules.rs): homecoming asks at 0.7 of the price; the budget is twice the reckoning instead of half, and in a window no more than the present share of what a warm server holds.

Tried and not kept: less of the price for what siblings that stop leave behind (clients that come again).

--- a/crates/dewhead-lab/src/sockets.rs
+++ b/crates/dewhead-lab/src/sockets.rs
@@ -87,6 +87,8 @@
     /// Which socket a link is on.
     at: SecondaryMap<LinkKey, usize>,
     processes: Vec<Option<Process>>,
+    /// Those whose place was taken; one leaves when it has ended.
+    retired: Vec<Child>,
     addresses: Vec<SocketAddr>,
     /// The configurations' folder; it goes with the run.
     folder: PathBuf,
@@ -148,6 +150,7 @@
             sockets: Slab::new(),
             at: SecondaryMap::new(),
             processes: (0..proxies).map(|_| None).collect(),
+            retired: Vec::new(),
             addresses,
             folder,
             configured: vec![Value::Null; proxies],
@@ -296,6 +299,16 @@
                     self.lose_process(p);
                 }
             }
+            Effect::Handover(p, leave_in) => {
+                if self.processes[p].as_ref().is_some_and(|one| one.ready) {
+                    let config = self.folder.join(format!("proxy-{p}.json"));
+                    let (control, leave_in) = (self.control(p), leave_in.to_string());
+                    let more = ["--take-over", &control, "--leave-in", &leave_in];
+                    let child = self.spawn(p, &config, &more)?;
+                    let old = self.processes[p].replace(Process { child, ready: true });
+                    self.retired.extend(old.map(|o| o.child));
+                }
+            }
             Effect::Renew(p, address) => {
                 self.shut_discovery(p);
                 let to = self.listen(p, Target::Agent(address))?;
@@ -338,16 +351,11 @@
         Ok(path)
     }
 
-    fn start(&mut self, p: usize, known: Value) -> Result<(), String> {
-        if self.processes[p].is_some() {
-            return Ok(());
-        }
-        let mine = |l: &&Listener| l.proxy == p && matches!(l.target, Target::Agent(_));
-        let discovery = self.listeners.iter().map(|(_, l)| l).find(mine).map(|l| l.address.to_string());
-        let (listen, discovery) = (self.addresses[p].to_string(), discovery.unwrap_or_default());
-        let seed = self.world.proxy_seed(p);
-        self.configured[p] = configuration(&self.world.of, p, &listen, &discovery, seed, known);
-        let path = self.write_configuration(p)?;
+    fn control(&self, p: usize) -> String {
+        self.folder.join(format!("control-{p}")).display().to_string()
+    }
+
+    fn spawn(&self, p: usize, config: &Path, more: &[&str]) -> Result<Child, String> {
         let log = match &self.programs.logs {
             Some(dir) => {
                 let file = File::options().create(true).append(true).open(dir.join(format!("proxy-{p}.log")));
@@ -355,14 +363,30 @@
             }
             None => Stdio::null(),
         };
-        let child = Command::new(&self.programs.proxy)
+        Command::new(&self.programs.proxy)
             .args(["serve", "--config"])
-            .arg(path)
+            .arg(config)
+            .args(more)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
-            .map_err(|e| told(&self.programs.proxy.display().to_string(), e))?;
+            .map_err(|e| told(&self.programs.proxy.display().to_string(), e))
+    }
+
+    fn start(&mut self, p: usize, known: Value) -> Result<(), String> {
+        if self.processes[p].is_some() {
+            return Ok(());
+        }
+        let mine = |l: &&Listener| l.proxy == p && matches!(l.target, Target::Agent(_));
+        let discovery = self.listeners.iter().map(|(_, l)| l).find(mine).map(|l| l.address.to_string());
+        let (listen, discovery) = (self.addresses[p].to_string(), discovery.unwrap_or_default());
+        let seed = self.world.proxy_seed(p);
+        self.configured[p] = configuration(&self.world.of, p, &listen, &discovery, seed, known);
+        // Earlier builds know no such field, and pass it over.
+        self.configured[p]["control"] = Value::String(self.control(p));
+        let path = self.write_configuration(p)?;
+        let child = self.spawn(p, &path, &[])?;
         self.processes[p] = Some(Process { child, ready: false });
         Ok(())
     }
@@ -383,6 +407,8 @@
                 self.world.ready(now, p);
             }
         }
+        // One whose end can't be asked for is kept, and asked again.
+        self.retired.retain_mut(|child| matches!(child.try_wait(), Ok(None) | Err(_)));
         self.carry_out()
     }
 
@@ -593,6 +619,10 @@
             let _ = process.child.kill();
             let _ = process.child.wait();
         }
+        for child in &mut self.retired {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
--- a/crates/dewhead-world/src/troubles/mod.rs
+++ b/crates/dewhead-world/src/troubles/mod.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod fast_errors;
 mod flood;
+mod handover;
 mod heavy_tail;
 mod neighbour;
 mod node_restart;
@@ -42,6 +43,7 @@
     drain::KIND,
     fast_errors::KIND,
     flood::KIND,
+    handover::KIND,
     heavy_tail::KIND,
     neighbour::KIND,
     node_restart::KIND,
--- a/crates/dewhead-world/src/world.rs
+++ b/crates/dewhead-world/src/world.rs
@@ -64,6 +64,8 @@
     /// Start this proxy's process; it knows the list as it last had it.
     Start(usize, Value),
     Signal(usize, Signal),
+    /// A new process takes this proxy's place, and the old one's clients leave over so many seconds.
+    Handover(usize, f64),
     /// Its configuration names another address of discovery, the so-many-th, and it gets SIGHUP.
     Renew(usize, usize),
 }
@@ -564,6 +566,15 @@
         self.queue.put(at, Due::StartProxy(proxy));
     }
 
+    /// A new process takes a running one's place.
+    pub(crate) fn hand_over(&mut self, now: f64, proxy: usize) {
+        if self.proxies[proxy].up && !self.proxies[proxy].stopping {
+            self.proxies[proxy].starts += 1;
+            self.service.mark(now, format!("proxy {proxy} is handed over"));
+            self.effects.push(Effect::Handover(proxy, self.of.proxy.leave_in));
+        }
+    }
+
     fn ask_start(&mut self, _now: f64, proxy: usize) {
         let known = self.discovery.remembered(proxy);
         self.effects.push(Effect::Start(proxy, known));
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -25,8 +25,9 @@
 const EARLY: f64 = 1e-3;
 /// A leg not yet answered counts as this many mean connections more.
 const WAITING: f64 = 2.0;
-/// Rule 4's budget is spent to this part.
-const MARGIN: f64 = 0.5;
+/// Rule 4's budget is reckoned by connections and spent to this multiple: a connection asks its load all its life, and
+/// counts here as if it asked for all of it in the warm-up.
+const MARGIN: f64 = 2.0;
 /// A server takes new connections up to this part of its limit; the rest is for what changes of itself.
 const ROOM: f64 = 0.85;
 /// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
@@ -35,6 +36,8 @@
 const LEAST: f64 = 0.3;
 /// Connections that break together are more than one in this many of those held.
 const APART: u32 = 16;
+/// Connections come home where Eq. 1 would have them there at this part of the price of crossing.
+const EASE: f64 = 0.7;
 /// The golden section: its multiples spread evenly between 0 and 1, however many there are.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// How many mean loads apart the first and the last of a group's servers are ranked.
@@ -55,11 +58,12 @@
         Place { home: home as u32, abroad: 1.0 - 10.0 * price, homecoming: price > 4.0 * moving }
     }
 
-    fn factor(&self, zone: u32) -> f64 {
+    /// `part` is how much of the price counts.
+    fn factor(&self, zone: u32, part: f64) -> f64 {
         if zone == self.home {
             1.0
         } else {
-            self.abroad
+            1.0 - (1.0 - self.abroad) * part
         }
     }
 }
@@ -201,9 +205,10 @@
         abroad.retain(|c| c.stage.get() == Stage::Standing && now - c.taken_at > self.longest_guard);
         abroad.sort_by(|a, b| a.rate.get().total_cmp(&b.rate.get()));
         drop(servers);
-        // Only where Eq. 1 would place them at home: with few connections, some server there always seems
-        // free.
-        let home = abroad.first().and_then(|c| self.pick(now, c)).is_some_and(|s| s.zone == self.place.home);
+        // Only where Eq. 1 would clearly place them at home: with few connections, some server there always seems
+        // free, and at the whole price who had come home went abroad again as often (experiment calm).
+        let home =
+            abroad.first().and_then(|c| self.pick(now, c, EASE)).is_some_and(|s| s.zone == self.place.home);
         for call in abroad.iter().take((self.held.get() as usize).div_ceil(100)).filter(|_| home) {
             self.door.relocate(call.id);
         }
@@ -314,7 +319,8 @@
     }
 
     /// Eq. 1 over the servers that may be sent to now: the most R_i less own predicted load, ties at random.
-    fn pick(&self, now: f64, call: &Call) -> Option<Rc<Server>> {
+    /// `price` is the part of the price of crossing that counts.
+    fn pick(&self, now: f64, call: &Call, price: f64) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         let (memory, total) = (self.memory(), self.load.get() as f64);
         // Incident iadd0bb: summed up apart, without a branch, the servers come into the cache many at a
@@ -322,7 +328,7 @@
         let (mut near, mut ready, mut count) = (0.0, 0.0, 0.0);
         for server in servers.iter() {
             let here = f64::from(u8::from(server.state.get() == State::Ready));
-            near += here * server.weight.get() * self.place.factor(server.zone).max(0.0);
+            near += here * server.weight.get() * self.place.factor(server.zone, price).max(0.0);
             ready += here * server.weight.get();
             count += here;
         }
@@ -344,7 +350,7 @@
                 continue;
             }
             let weight = server.weight.get();
-            let factor = self.place.factor(server.zone);
+            let factor = self.place.factor(server.zone, price);
             let age = now - server.started.get();
             let (share, load) = (weight * per_weight, server.load.get() as f64);
             if age >= self.thaw.warm_after {
@@ -373,10 +379,10 @@
                 continue;
             }
             // Crossing costs the same whatever the server's size, so that Eq. 1 tells servers abroad apart.
-            let price = (1.0 - factor) * mean_share;
+            let crossing = (1.0 - factor) * mean_share;
             // Legs not yet answered weigh more: set-up is work, and a server that answers none is slow.
             let waiting = WAITING * mean * f64::from(server.waiting.get());
-            let mut left = share.min(limit) - price - load - waiting + server.rounding * mean;
+            let mut left = share.min(limit) - crossing - load - waiting + server.rounding * mean;
             if let (true, Some((asked, own, at))) = (self.reports.get(), server.report.get()) {
                 // Where reports are had, R_i is also cut by what others hold: the share that the server's
                 // reported load makes of the mean, less what of it is our own. A report fades as it ages.
@@ -443,11 +449,14 @@
 
     /// Rule 4: this balancer's part of what a cold server can take. A server here holds so many own
     /// connections for its weight, and one that starts is filled over its warm-up; the budget fills at that
-    /// pace times the present share and the multiple, less a margin, or at one connection a window for all.
+    /// pace times the present share, the multiple and a margin, or at one connection a window for all.
     fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
-        let pace = self.held_by_weight.get() * server.weight.get() / self.thaw.warm_after;
+        let part = self.held_by_weight.get() * server.weight.get() * self.thaw.present(age);
         let least = 1.0 / (self.siblings * self.thaw.window);
-        let fill = (MARGIN * self.thaw.multiple * self.thaw.present(age) * pace).max(least);
+        // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
+        // makes it fall.
+        let pace = (MARGIN * self.thaw.multiple / self.thaw.warm_after).min(1.0 / self.thaw.window);
+        let fill = (part * pace).max(least);
         let budget = server.budget.get() + fill * (now - server.budget_at.get()).max(0.0);
         server.budget.set(budget.min((fill * self.thaw.window).max(1.0)));
         server.budget_at.set(now);
@@ -544,7 +553,7 @@
         if sent >= balancer.legs.most || guard <= 0.0 {
             return false;
         }
-        let Some(server) = self.held_at(now).or_else(|| balancer.pick(now, self)) else { return false };
+        let Some(server) = self.held_at(now).or_else(|| balancer.pick(now, self, 1.0)) else { return false };
         let TrafficType { effect, setup_target, .. } = balancer.traffic[self.wanted.traffic];
         let target = self.taken_at + setup_target - now;
         let last = sent + 1 == balancer.legs.most;
