Discovery that starts anew and counts from one is believed

Change: a lower version that comes as a whole list and names somebody is taken up. It brings nothing back: a server held as draining stays so until it has started anew or a change names it, since the list may only be behind.

--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -6,7 +6,7 @@
 use crate::memory::timers::Timer;
 use crate::wire::http::Answer;
 use crate::wire::listing::listing;
-use dewhead::terms::{Ending, News};
+use dewhead::terms::{Ending, News, State};
 use log::warn;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -100,7 +100,7 @@
 
     /// A version of the list; false where it was not understood, and the list held stays.
     pub(super) fn list(&mut self, now: f64, told: &Value, remembered: bool) -> bool {
-        let (version, whole, entries) = match listing(told, &self.known.zones) {
+        let (version, whole, mut entries) = match listing(told, &self.known.zones) {
             Ok(list) => list,
             Err(fault) => {
                 if self.watch.failures == 0 {
@@ -109,10 +109,23 @@
                 return false;
             }
         };
-        if version < self.watch.version {
+        // Nor is one believed that names nobody yet.
+        if version < self.watch.version && (!whole || entries.is_empty()) {
             warn!("discovery: version {version} is older than {}, which is held", self.watch.version);
             return true;
         }
+        if version < self.watch.version {
+            // Discovery that started anew counts from one again. Its list left aside until it had counted past the old
+            // one, nodes that it drained meanwhile went on being sent to. One that is only behind brings nothing back:
+            // a server held as draining stays so until it has started anew or a change names it.
+            warn!("discovery: version {version} for {}, which was held: it counts anew", self.watch.version);
+            for (listed, _) in &mut entries {
+                let held = self.servers.0.get(&listed.id);
+                if held.is_some_and(|h| h.state == State::Draining && h.started == listed.started) {
+                    listed.state = State::Draining;
+                }
+            }
+        }
         self.watch.version = version;
         self.watch.failures = 0;
         self.watch.entries.follow(whole || remembered, told);
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -533,3 +533,28 @@
         assert_eq!(busy > 0, turned_away, "{busy} of forty, {age} s after the start");
     }
 }
+
+/// Found by the lab's hunt: the list of a discovery that had started anew was left aside until it had counted past the
+/// old one, and what it drained meanwhile went on being sent to.
+#[test]
+fn discovery_that_counts_anew_is_believed_but_brings_nothing_back() {
+    let held = |at: u64| list(at, true, vec![host(0, "ready"), host(1, "ready"), host(2, "draining")]);
+    let mut stand = Stand::new(256, held(40));
+    let to = |stand: &mut Stand| {
+        let before = stand.dialled.len();
+        for _ in 0..30 {
+            stand.call("feed");
+        }
+        let mut to = stand.dialled[before..].to_vec();
+        to.sort_unstable();
+        to.dedup();
+        to
+    };
+    assert_eq!(to(&mut stand), [9000, 9001]);
+    // It counts from one: one server drains, one is drained no more or the list is old, and one is new.
+    let anew = vec![host(0, "ready"), host(1, "draining"), host(2, "ready"), host(3, "ready")];
+    stand.watch(&list(1, true, anew).to_string());
+    assert_eq!(to(&mut stand), [9000, 9003]);
+    stand.tell(Event::Watch(format!("{}\n", list(2, false, vec![host(2, "ready")])).as_bytes()));
+    assert_eq!(to(&mut stand), [9000, 9002, 9003], "a change names it, and it serves again");
+}
