One leg with all its time while set-ups fail everywhere, and one probe a call where servers tell

Each leg cut off early brought the next. Balancer::answers keeps the last set-ups' answers, of any server; where most fail, a call has one leg, with all of the guard time, and is answered at once if that fails. Inline reports, which only tartu and narva had, made way for probes.

--- a/crates/dewhead-proxy/src/reducer/door.rs
+++ b/crates/dewhead-proxy/src/reducer/door.rs
@@ -52,6 +52,10 @@
     fn follow_list(&self) {
         self.ask(Asked::Follow);
     }
+    // Servers on sockets have no word for it.
+    fn probe(&self, _: u32) -> bool {
+        false
+    }
     fn remark(&self, text: &str) {
         self.ask(Asked::Remark(text.to_owned()));
     }
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -45,6 +45,7 @@
     legs: Legs,
     park: f64,
     live: bool,
+    probes: bool,
 }
 
 impl Startup {
@@ -77,6 +78,7 @@
         let feedback = field(told, "feedback")?;
         let reported = text(feedback, "how")? != "off";
         let asked_field = names(feedback, "fields")?.iter().position(|f| reported && f == "x0");
+        let probes = asked_field.is_some() && maybe(limits, "probes", truth)?.unwrap_or(false);
         let thaw = Thaw {
             cold_share: number(rules, "coldShare")?,
             warm_after: seconds(rules, "cold")?,
@@ -95,6 +97,7 @@
         };
         Ok(Startup {
             asked_field,
+            probes,
             groups: maybe(nature, "groups", truth)?.unwrap_or(false),
             must_ask: text(told, "membershipMode")? == "subscribe",
             connect_limit: maybe(limits, "connectTimeout", seconds)?.unwrap_or(f64::INFINITY),
@@ -143,6 +146,7 @@
             if self.groups { 1.0 } else { 0.0 },
             self.park,
             self.live,
+            self.probes,
         );
         (balancer, self.known)
     }
--- a/crates/dewhead-wirehost/src/door.rs
+++ b/crates/dewhead-wirehost/src/door.rs
@@ -82,6 +82,11 @@
         self.action("KEEP_INFORMED", format_args!(",\"active\":true"));
     }
 
+    fn probe(&self, server: u32) -> bool {
+        self.action("SOUND_OUT", format_args!(",\"server\":{server}"));
+        true
+    }
+
     fn remark(&self, text: &str) {
         let text = serde_json::Value::from(text);
         self.action("TRACE", format_args!(",\"reasonText\":{text}"));
--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -8,6 +8,7 @@
 };
 use dewhead_startup::{Known, Startup};
 use serde_json::Value;
+use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -32,7 +33,45 @@
     output: Output,
     instances: HashMap<String, Instance>,
     /// Numbered lists, by number; the wire uses the same few numbers again and again.
-    lists: HashMap<u64, Value>,
+    lists: HashMap<u64, List>,
+}
+
+/// A numbered list as it came, and as last decoded: by which zone names, and the entries. Where weights move with load
+/// it comes each second to hundreds of instances, which all have the same names; decoded for each it took most of the
+/// time (ktm-ingest, big-1).
+struct List {
+    rows: Value,
+    decoded: RefCell<Option<Decoded>>,
+}
+
+type Decoded = (Vec<String>, Rc<Vec<Listed>>);
+
+impl List {
+    fn entries(&self, zones: &[String]) -> Outcome<Rc<Vec<Listed>>> {
+        if let Some((_, entries)) = self.decoded.borrow().as_ref().filter(|(by, _)| by == zones) {
+            return Ok(entries.clone());
+        }
+        let rows = self.rows.as_array().map(Vec::as_slice).unwrap_or_default();
+        let entries = Rc::new(rows.iter().map(|row| entry(row, zones)).collect::<Outcome<Vec<_>>>()?);
+        *self.decoded.borrow_mut() = Some((zones.to_vec(), entries.clone()));
+        Ok(entries)
+    }
+}
+
+fn entry(row: &Value, zones: &[String]) -> Outcome<Listed> {
+    Ok(Listed {
+        id: server_id(row)?,
+        zone: place_in(row, "rackZone", zones)?,
+        cell: maybe(row, "block", whole)?.unwrap_or(0),
+        state: match text(row, "mode")? {
+            "Ready" => State::Ready,
+            "Terminating" => State::Draining,
+            "Gone" => State::Gone,
+            other => return Err(format!("field 'mode' names unknown '{other}'")),
+        },
+        weight: maybe(row, "size", number)?.unwrap_or(1.0),
+        started: maybe(row, "readyAt", seconds)?.filter(|at| *at > 0.0),
+    })
 }
 
 fn server_id(of: &Value) -> Outcome<u32> {
@@ -73,7 +112,7 @@
         if name == "LIST" {
             let slot = whole(of, "slot")?;
             array(of, "rowsIn")?;
-            self.lists.insert(slot, of["rowsIn"].clone());
+            self.lists.insert(slot, List { rows: of["rowsIn"].clone(), decoded: RefCell::default() });
             return Ok(());
         }
         let who = text(of, "who")?;
@@ -106,7 +145,7 @@
         Ok(Instance { door, balancer, known, asked_field, calls: HashMap::new(), echoes: VecDeque::new() })
     }
 
-    fn list(&self, now: f64, of: &Value, lists: &HashMap<u64, Value>) -> Outcome<()> {
+    fn list(&self, now: f64, of: &Value, lists: &HashMap<u64, List>) -> Outcome<()> {
         let news = match text(of, "form")? {
             "delta" => News::Changes,
             "full" => News::Whole,
@@ -118,24 +157,8 @@
             other => return Err(format!("field 'form' names unknown '{other}'")),
         };
         let slot = whole(of, "slot")?;
-        let rows = lists.get(&slot).and_then(Value::as_array);
-        let rows = rows.ok_or_else(|| format!("field 'slot' names unknown list {slot}"))?;
-        let mut entries = Vec::with_capacity(rows.len());
-        for row in rows {
-            entries.push(Listed {
-                id: server_id(row)?,
-                zone: place_in(row, "rackZone", &self.known.zones)?,
-                cell: maybe(row, "block", whole)?.unwrap_or(0),
-                state: match text(row, "mode")? {
-                    "Ready" => State::Ready,
-                    "Terminating" => State::Draining,
-                    "Gone" => State::Gone,
-                    other => return Err(format!("field 'mode' names unknown '{other}'")),
-                },
-                weight: maybe(row, "size", number)?.unwrap_or(1.0),
-                started: maybe(row, "readyAt", seconds)?.filter(|at| *at > 0.0),
-            });
-        }
+        let list = lists.get(&slot).ok_or_else(|| format!("field 'slot' names unknown list {slot}"))?;
+        let entries = list.entries(&self.known.zones)?;
         self.balancer.list(now, news, &entries);
         Ok(())
     }
@@ -188,9 +211,7 @@
             "ATTEMPT_END" => {
                 let (leg, last) = (whole(of, "roundNo")? as usize, truth(of, "last")?);
                 let ending = ending(text(of, "result")?)?;
-                let asked = self.asked(of)?;
                 self.with_call(wall, of, |call| {
-                    asked.into_iter().for_each(|asked| call.reported(now, leg, asked));
                     call.ended(now, leg, ending, last);
                     Ok(())
                 })?;
@@ -205,8 +226,10 @@
                 }
                 None => {}
             },
-            // Nothing is probed and nothing told to peers.
-            "PROBE_RESULT" | "FROM_PEER" => {}
+            // A call that is over with this is let go of when its timer for the probe fires.
+            "PROBE_RESULT" => self.balancer.probed(now, server_id(of)?, self.asked(of)?),
+            // Nothing is told to peers.
+            "FROM_PEER" => {}
             other => return Err(format!("unknown event '{other}'")),
         }
         Ok(())
--- a/crates/dewhead/src/outward.rs
+++ b/crates/dewhead/src/outward.rs
@@ -17,6 +17,8 @@
     fn wake(&self, at: f64);
     /// Follow the list of servers from now on.
     fn follow_list(&self);
+    /// Ask a server for its load; `Balancer::probed` tells what came back. False where hosts have no word for it.
+    fn probe(&self, server: u32) -> bool;
     /// A line for the operators.
     fn remark(&self, text: &str);
 }
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -47,6 +47,10 @@
 const CROWDED: f64 = 2.0;
 /// The least that servers are taken to hold a core, the emptiest apart, when they are compared.
 const LITTLE: f64 = 0.1;
+/// A report is as good as a new one for this part of the longest guard time.
+const KNOWN: f64 = 0.5;
+/// A call waits for a probe's answer this part of its setup target.
+const HEARD: f64 = 0.125;
 /// With room nowhere else, a server is relieved once a message takes this many of the shortest message targets.
 const LATE: f64 = 3.0;
 
@@ -207,7 +211,7 @@
         let (servers, memory) = (self.servers.borrow(), self.memory());
         let mut room = servers.iter().filter(|s| s.zone == self.place.home && s.state.get() == State::Ready);
         let roomy = |s: &Rc<Server>| {
-            let asked = s.report.get().map_or(0.0, |(asked, ..)| asked);
+            let asked = s.report.get().map_or(0.0, |(asked, _)| asked);
             s.load.get() as f64 <= 0.5 * s.limit(now, memory) && asked < 0.7 && !s.sick(now, memory)
         };
         // Called home while others are turned away, connections would only join those.
@@ -272,6 +276,20 @@
         servers.retain(|s| s.state.get() != State::Gone || s.held.get() > 0);
     }
 
+    /// A probe's answer: what is asked of the server over what it can do; none where it did not tell.
+    pub fn probed(&self, now: f64, server: u32, asked: Option<f64>) {
+        let found = {
+            let servers = self.servers.borrow();
+            servers.binary_search_by_key(&server, |s| s.id).ok().map(|at| servers[at].clone())
+        };
+        let Some(server) = found else { return };
+        if let Some(asked) = asked {
+            server.report.set(Some((asked, now)));
+        }
+        let waiting = server.probing.take();
+        waiting.iter().filter_map(Weak::upgrade).for_each(|call| call.go_on(now));
+    }
+
     /// A call has come in. The handle is all that its events need.
     pub fn take(&self, now: f64, id: u64, wanted: Wanted) -> Rc<Call> {
         let call = self.handle(now, id, wanted);
@@ -323,6 +341,7 @@
             rate: Cell::new(rate),
             busy: Cell::new(1.0),
             read_at: Cell::new(now),
+            probe: Cell::new(None),
         })
     }
 
@@ -391,13 +410,10 @@
             // servers that the others have closed. Not so one that has just started, as nobody has filled it
             // (ic788f7).
             let location = &self.locations[(server.zone as usize).min(self.locations.len() - 1)];
-            let closed =
-                load + (1.0 - server.rounding) * rate > room * limit || now < server.full_until.get();
+            let full = now < server.full_until.get();
+            let closed = load + (1.0 - server.rounding) * rate > room * limit || full;
             if load > 0.0 || limit.is_finite() {
-                location.tally(
-                    weight,
-                    load + (1.0 - server.rounding) * mean > ROOM * limit || now < server.full_until.get(),
-                );
+                location.tally(weight, load + (1.0 - server.rounding) * mean > ROOM * limit || full);
             }
             let unknown = load == 0.0 && limit.is_infinite() && age >= 3.0 * self.thaw.warm_after;
             if closed || (unknown && server.rounding < location.closed.get()) {
@@ -408,16 +424,14 @@
             // Legs not yet answered weigh more: set-up is work, and a server that answers none is slow.
             let waiting = WAITING * mean * f64::from(server.waiting.get());
             let mut left = share.min(limit) - crossing - load - waiting + server.rounding * mean;
-            if let (true, Some((asked, own, at))) = (self.reports.get(), server.report.get()) {
-                // Where reports are had, R_i is also cut by what others hold: the share that the server's
-                // reported load makes of the mean, less what of it is our own. A report fades as it ages.
-                reported.0 += weight * asked;
-                reported.1 += weight;
-                let others = share * asked / self.reported.get().max(0.05) - own as f64;
-                left -= others * (-(now - at) / self.memory()).exp();
-            }
-            if self.live {
-                left -= CROWDED * mean * crowded(server) / crowd;
+            if self.live || self.probes {
+                let told = if self.live { crowded(server) / crowd } else { 1.0 };
+                // A report tells more than a count, and fades as it ages.
+                let (asked, fresh) = server.report.get().map_or((0.0, 0.0), |(asked, at)| {
+                    reported = (reported.0 + weight * asked, reported.1 + weight);
+                    (asked / self.reported.get().max(LITTLE), (-(now - at) / memory).exp())
+                });
+                left -= CROWDED * mean * (fresh * asked + (1.0 - fresh) * told);
             }
             // A new server carries a phantom load at the others' mean, fading over its warm-up.
             left -= share * (1.0 - age / self.thaw.warm_after).max(0.0);
@@ -498,6 +512,18 @@
         server.budget.get() >= 1.0
     }
 
+    /// What an answer to a set-up, an error or none, says of what all servers share.
+    fn answered(&self, now: f64, well: bool) {
+        let (answers, counted, _) = self.answers.get();
+        self.answers.set(((answers << 1 | u32::from(well)) & ((1 << FEW) - 1), (counted + 1).min(FEW), now));
+    }
+
+    /// Fewer than half of the last few set-ups went well, of four at least, and the last was not long ago.
+    fn shared_fault(&self, now: f64) -> bool {
+        let (answers, counted, at) = self.answers.get();
+        counted >= FEW / 2 && 2 * answers.count_ones() < counted && now - at < self.longest_guard
+    }
+
     fn count_sent(&self, now: f64, server: &Server, load: f64) {
         if now - server.started.get() < 3.0 * self.thaw.warm_after {
             server.budget.set(server.budget.get() - (load / self.mean_load()).max(1.0));
@@ -590,16 +616,20 @@
         let balancer = &self.balancer;
         let sent = self.legs.borrow().len() as u32;
         let guard = self.wanted.until - now;
-        if sent >= balancer.legs.most || guard <= 0.0 {
+        // Most servers answer with an error: what they share fails, and another leg only adds to it.
+        if sent >= balancer.legs.most || guard <= 0.0 || (sent > 0 && balancer.shared_fault(now)) {
             return false;
         }
         let Some(server) = self.held_at(now).or_else(|| balancer.pick(now, self, 1.0)) else { return false };
+        if sent == 0 && self.probe(now, &server) {
+            return true;
+        }
         let TrafficType { effect, setup_target, .. } = balancer.traffic[self.wanted.traffic];
         let target = self.taken_at + setup_target - now;
         let last = sent + 1 == balancer.legs.most;
         // A leg leaves time for a further one before the setup target, or else before the guard time.
         let limit = match () {
-            () if last => guard,
+            () if last || balancer.shared_fault(now) => guard,
             () if target > 0.0 => (target / 2.0).max(guard / 8.0).min(guard),
             () => (guard / 2.0).max(guard.min(target.abs())),
         };
@@ -615,6 +645,30 @@
         true
     }
 
+    /// Waits for what the server tells of its load, once a call, where that is not known and there is time.
+    fn probe(self: &Rc<Self>, now: f64, server: &Rc<Server>) -> bool {
+        let balancer = &self.balancer;
+        let known = server.report.get().is_some_and(|(_, at)| now - at < KNOWN * balancer.longest_guard);
+        let wait = HEARD * balancer.traffic[self.wanted.traffic].setup_target;
+        let time = self.wanted.until - now > 2.0 * wait;
+        if !balancer.probes || known || !time || self.probe.get().is_some() || !balancer.door.probe(server.id)
+        {
+            return false;
+        }
+        self.probe.set(Some(true));
+        server.probing.borrow_mut().push(Rc::downgrade(self));
+        balancer.door.wake_call(self.id, now + wait);
+        true
+    }
+
+    /// The probe is over, answered or not; what comes of it later counts for other calls only.
+    fn go_on(self: &Rc<Self>, now: f64) {
+        let waits = self.probe.replace(Some(false)) == Some(true);
+        if waits && self.stage.get() == Stage::Waiting && !self.next_leg(now) {
+            self.give_up(now);
+        }
+    }
+
     /// A connection whose packets went elsewhere for a while goes on where it is still held.
     fn held_at(&self, now: f64) -> Option<Rc<Server>> {
         if !self.wanted.midflow {
@@ -696,6 +750,7 @@
             if at == leg {
                 one.answered();
                 one.server.judge(now, true);
+                self.balancer.answered(now, true);
             } else if one.out && self.balancer.legs.may_withdraw {
                 self.balancer.door.withdraw(self.id, at as u32);
             }
@@ -740,14 +795,6 @@
         }
     }
 
-    /// A load report that came with an answer: what is asked of the leg's server over what it can do.
-    pub fn reported(&self, now: f64, leg: usize, asked: f64) {
-        if let Some(leg) = self.legs.borrow().get(leg) {
-            leg.server.report.set(Some((asked, leg.server.load.get(), now)));
-            self.balancer.reports.set(true);
-        }
-    }
-
     pub fn ended(self: &Rc<Self>, now: f64, leg: usize, ending: Ending, last: bool) {
         let Some(server) = self.unplace(leg) else { return };
         let balancer = &self.balancer;
@@ -769,6 +816,9 @@
                 }
             }
             Ending::Error | Ending::TimedOut | Ending::Unreachable | Ending::Broken => {
+                if matches!(ending, Ending::Error | Ending::TimedOut) {
+                    balancer.answered(now, false);
+                }
                 server.judge(now, false)
             }
             // Full is capacity, not sickness.
@@ -813,9 +863,12 @@
 
     /// Where two legs may be out at once, the second starts when the first takes long.
     pub fn woken(self: &Rc<Self>, now: f64) {
+        if self.probe.get() == Some(true) {
+            return self.go_on(now);
+        }
         let one_out = self.legs.borrow().iter().filter(|l| l.out).count() == 1;
         let more = (self.legs.borrow().len() as u32) < self.balancer.legs.most;
-        if self.stage.get() == Stage::Waiting && one_out && more {
+        if self.balancer.legs.two_at_once && self.stage.get() == Stage::Waiting && one_out && more {
             self.next_leg(now);
         }
     }
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -89,8 +89,8 @@
     /// Budget of a cold server, in connections.
     pub(crate) budget: Cell<f64>,
     pub(crate) budget_at: Cell<f64>,
-    /// The last report: load asked over what it can do, own load then, and when.
-    pub(crate) report: Cell<Option<(f64, i64, f64)>>,
+    /// The last report: load asked over what it can do, and when.
+    pub(crate) report: Cell<Option<(f64, f64)>>,
     /// Group -> own connections of it here; an entry goes with its last connection.
     pub(crate) groups: RefCell<BTreeMap<u64, u32>>,
     pub(crate) id: u32,
@@ -99,6 +99,8 @@
     pub(crate) carried: Cell<f64>,
     /// How long a message took there when last told, and when that was.
     pub(crate) delay: Cell<(f64, f64)>,
+    /// Calls that wait for a probe; they go with its answer, or are over by themselves.
+    pub(crate) probing: RefCell<Vec<Weak<Call>>>,
     /// Own calls here, by the order they were placed in; an entry goes with its leg.
     pub(crate) calls: RefCell<BTreeMap<u64, Weak<Call>>>,
 }
@@ -131,6 +133,7 @@
             budget_at: Cell::new(now),
             groups: RefCell::new(BTreeMap::new()),
             report: Cell::new(None),
+            probing: RefCell::new(Vec::new()),
         })
     }
 }
@@ -160,6 +163,8 @@
     pub(crate) taken_at: f64,
     pub(crate) stage: Cell<Stage>,
     pub(crate) legs: RefCell<Vec<Leg>>,
+    /// Whether it waits for a probe now; none before its first.
+    pub(crate) probe: Cell<Option<bool>>,
     /// First leg that may have run: its zone, its cell, when it was sent.
     pub(crate) may_have_run: Cell<Option<(u32, u64, f64)>>,
     /// The leg that the connection stands on.
@@ -186,6 +191,10 @@
     pub(crate) group_cost: f64,
     /// Whether the list's weights move with load, and so tell what servers hold.
     pub(crate) live: bool,
+    /// Whether servers tell their load when probed.
+    pub(crate) probes: bool,
+    /// The last few answers to set-ups from any server, newest lowest, 0 an error; how many, and when the last came.
+    pub(crate) answers: Cell<(u32, u32, f64)>,
     /// Sorted by id; a server leaves when it is gone and holds nothing of ours.
     pub(crate) servers: RefCell<Vec<Rc<Server>>>,
     pub(crate) load: Cell<i64>,
@@ -195,8 +204,6 @@
     /// Own connections on a warm server for each unit of its weight, at the last pick.
     pub(crate) held_by_weight: Cell<f64>,
     pub(crate) picked_at: Cell<f64>,
-    /// Whether any server has ever reported.
-    pub(crate) reports: Cell<bool>,
     /// The mean of the reported loads, by weight, at the last pick.
     pub(crate) reported: Cell<f64>,
     pub(crate) home_at: Cell<f64>,
@@ -245,6 +252,7 @@
         group_cost: f64,
         park: f64,
         live: bool,
+        probes: bool,
     ) -> Rc<Balancer> {
         let longest_guard = traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
         let shortest_message = traffic.iter().map(|t| t.message_target).fold(f64::INFINITY, f64::min);
@@ -261,15 +269,16 @@
             locations: (0..locations.max(1)).map(|_| Location::default()).collect(),
             thaw,
             legs,
+            answers: Cell::new((0, 0, 0.0)),
             group_cost,
             live,
+            probes,
             servers: RefCell::new(Vec::new()),
             load: Cell::new(0),
             held: Cell::new(0),
             groups: RefCell::new(BTreeMap::new()),
             held_by_weight: Cell::new(0.0),
             picked_at: Cell::new(0.0),
-            reports: Cell::new(false),
             reported: Cell::new(1.0),
             home_at: Cell::new(f64::INFINITY),
             refused_at: Cell::new(f64::NEG_INFINITY),
--- a/crates/dewhead/tests/common/mod.rs
+++ b/crates/dewhead/tests/common/mod.rs
@@ -39,6 +39,7 @@
     pub moved: RefCell<Vec<u64>>,
     pub wakes: RefCell<Vec<(f64, Option<u64>)>>,
     pub asked: Cell<u32>,
+    pub probed: RefCell<Vec<u32>>,
 }
 
 impl Outward for Watcher {
@@ -104,6 +105,11 @@
         self.asked.set(self.asked.get() + 1);
     }
 
+    fn probe(&self, server: u32) -> bool {
+        self.probed.borrow_mut().push(server);
+        true
+    }
+
     fn remark(&self, _: &str) {}
 }
 
@@ -127,17 +133,17 @@
 impl Stand {
     /// `price` is that of crossing zones.
     pub fn new(seed: u64, legs: Legs, price: f64, ask: bool, traffic: Vec<TrafficType>) -> Stand {
-        Stand::under(seed, legs, price, ask, traffic, false)
+        Stand::under(seed, legs, price, ask, traffic, (false, false))
     }
 
-    /// `live`: the list's weights move with load.
+    /// Whether the list's weights move with load, and whether probes bring reports.
     pub fn under(
         seed: u64,
         legs: Legs,
         price: f64,
         ask: bool,
         traffic: Vec<TrafficType>,
-        live: bool,
+        (live, probes): (bool, bool),
     ) -> Stand {
         let watcher = Rc::new(Watcher::default());
         watcher.most.set(legs.most);
@@ -160,6 +166,7 @@
             1.0,
             0.0,
             live,
+            probes,
         );
         balancer.begin(100.0);
         Stand { watcher, balancer, calls: BTreeMap::new(), traffic, next: 0 }
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -39,7 +39,14 @@
         stay_away: seed.is_multiple_of(2).then_some(1.0),
     };
     let price = [0.0, 0.01, 0.12][seed as usize % 3];
-    let mut stand = Stand::new(seed, legs, price, seed.is_multiple_of(2), kinds);
+    let mut stand = Stand::under(
+        seed,
+        legs,
+        price,
+        seed.is_multiple_of(2),
+        kinds,
+        (seed.is_multiple_of(4), seed.is_multiple_of(5)),
+    );
     let mut fleet: Vec<Listed> = (0..8).map(|i| server(i, i as usize % 3, f64::from(1 + i % 3))).collect();
     stand.list(News::Remembered, &fleet);
     for _ in 0..400 {
@@ -79,7 +86,7 @@
             .map(|(id, leg, _, standing)| (id, leg, standing))
             .collect();
         let any = (!out.is_empty()).then(|| out[dice.rand_range(0..out.len().max(1) as u64) as usize]);
-        match (dice.rand_range(0..12), any) {
+        match (dice.rand_range(0..13), any) {
             (0..=3, _) => {
                 let hint = (dice.rand_float() < 0.7).then(|| dice.rand_float());
                 stand.take(dice.rand_range(0..5) as usize, hint, Some(dice.rand_range(0..4)));
@@ -102,6 +109,11 @@
             (11, _) => {
                 stand.list(News::Failed, &[]);
             }
+            (12, _) => {
+                let probed = stand.watcher.probed.borrow_mut().pop();
+                let asked = (dice.rand_float() < 0.7).then(|| 2.0 * dice.rand_float());
+                probed.into_iter().for_each(|server| stand.balancer.probed(now, server, asked));
+            }
             _ => {}
         }
         for (id, book) in stand.watcher.books.borrow().iter() {
@@ -526,7 +538,7 @@
         let mut on_crowded = 0;
         for seed in 0..20 {
             let kinds = vec![traffic(Effect::Repeatable)];
-            let mut stand = Stand::under(seed, legs_of(3), 0.0, false, kinds, live);
+            let mut stand = Stand::under(seed, legs_of(3), 0.0, false, kinds, (live, false));
             // Half of the servers hold nine a core, the others one.
             let fleet: Vec<Listed> = (0..20).map(|i| server(i, 0, if i < 10 { 0.1 } else { 0.5 })).collect();
             stand.list(News::Remembered, &fleet);
@@ -545,7 +557,7 @@
 fn an_empty_cold_server_has_no_larger_budget_for_its_weight() {
     let sent = |empty: f64| {
         let kinds = vec![traffic(Effect::Repeatable)];
-        let mut stand = Stand::under(3, legs_of(3), 0.0, false, kinds, true);
+        let mut stand = Stand::under(3, legs_of(3), 0.0, false, kinds, (true, false));
         let mut fleet: Vec<Listed> = (0..8).map(|i| server(i, 0, 0.1)).collect();
         stand.list(News::Remembered, &fleet);
         (0..80).for_each(|_| _ = stand.standing(1.0));
@@ -601,3 +613,73 @@
     assert_eq!(moved(0.08), 0, "the second server's had the first to go to, which is closed");
     assert!(moved(0.4) > 0, "with messages far too late, holding on serves nobody");
 }
+
+/// A stand whose servers tell their load when probed, with four servers that nobody holds anything on.
+fn probing() -> Stand {
+    let kinds = vec![traffic(Effect::Repeatable)];
+    let stand = Stand::under(5, legs_of(3), 0.0, false, kinds, (true, true));
+    stand.list(News::Remembered, &(0..4).map(|i| server(i, 0, 0.5)).collect::<Vec<_>>());
+    stand
+}
+
+#[test]
+fn a_call_waits_for_what_the_server_tells_and_goes_elsewhere_if_much_is_asked_of_it() {
+    let mut stand = probing();
+    let id = stand.take(0, Some(1.0), None);
+    assert_eq!(stand.at(id), None, "it waits");
+    let first = stand.watcher.probed.borrow()[0];
+    stand.balancer.probed(stand.now(), first, Some(3.0));
+    assert!(stand.at(id).is_some_and(|at| at != first), "{:?}", stand.at(id));
+    assert_eq!(stand.watcher.probed.borrow().len(), 1, "one probe a call");
+}
+
+/// The timer of a probe that was answered in time was taken for the second leg's: two legs were out (ktm-ingest, all
+/// days; rule 2).
+#[test]
+fn a_late_timer_of_a_probe_sends_nothing() {
+    let mut stand = probing();
+    let id = stand.take(0, Some(1.0), None);
+    let first = stand.watcher.probed.borrow()[0];
+    stand.balancer.probed(stand.now(), first, Some(0.1));
+    let at = stand.watcher.wakes.borrow().iter().find(|(_, call)| *call == Some(id)).expect("a timer").0;
+    stand.watcher.now.set(at);
+    stand.calls[&id].woken(at);
+    assert_eq!(stand.watcher.books.borrow()[&id].sent.len(), 1);
+}
+
+#[test]
+fn a_probe_without_an_answer_holds_a_call_an_eighth_of_its_setup_target() {
+    let mut stand = probing();
+    let id = stand.take(0, Some(1.0), None);
+    let at = stand.watcher.wakes.borrow().iter().find(|(_, call)| *call == Some(id)).expect("a timer").0;
+    assert!(at - stand.now() <= 0.5 / 8.0 + 1e-9);
+    stand.watcher.now.set(at);
+    stand.calls[&id].woken(at);
+    assert!(stand.at(id).is_some());
+    let first = stand.watcher.probed.borrow()[0];
+    stand.balancer.probed(at + 0.1, first, Some(0.1));
+    assert_eq!(stand.watcher.books.borrow()[&id].sent.len(), 1, "an answer after that sends nothing");
+}
+
+/// A store that all servers ask, or a crowd's set-up, answers nobody in time: legs cut off at half of the setup target
+/// were work for nothing and five times as many (ktm-ingest, a burst at full size: 0.39, with this 0.70).
+#[test]
+fn while_set_ups_fail_everywhere_a_call_has_one_leg_with_all_its_time() {
+    let mut stand = Stand::plain();
+    stand.list(News::Remembered, &(0..12).map(|i| server(i, 0, 1.0)).collect::<Vec<_>>());
+    for ending in [Ending::TimedOut, Ending::Error] {
+        let id = stand.take(0, Some(1.0), None);
+        for leg in 0..3 {
+            if stand.waits_on(id, leg) {
+                stand.end(id, leg, ending);
+            }
+        }
+    }
+    let id = stand.take(0, Some(1.0), None);
+    let (until, sent) =
+        (stand.watcher.books.borrow()[&id].until, stand.watcher.books.borrow()[&id].sent[0].until);
+    assert!((until - sent).abs() < 1e-9, "the leg has all of the guard time");
+    stand.end(id, 0, Ending::Error);
+    let book = &stand.watcher.books.borrow()[&id];
+    assert_eq!((book.sent.len(), book.answers), (1, 1), "answered at once");
+}
