Cold budgets start at each balancer's rounding, so that a deploy's new servers are filled

With 212 balancers one's part of a cold server fills its budget to one connection (within_budget) only after 25 to 100 s, counted from zero; then all come at once. Ruled out: the list, which names them in a second. Started at the rounding, which lies evenly among siblings, the first connections lie evenly in time. The test sees 0 of 40 without the change.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -266,7 +266,7 @@
                         server.limit.set(f64::INFINITY);
                         server.carried.set(0.0);
                         server.report.set(None);
-                        server.budget.set(0.0);
+                        server.budget.set(server.rounding);
                         server.budget_at.set(now);
                     }
                 }
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -129,7 +129,8 @@
             calls: RefCell::new(BTreeMap::new()),
             full_until: Cell::new(f64::NEG_INFINITY),
             delay: Cell::new((0.0, f64::NEG_INFINITY)),
-            budget: Cell::new(0.0),
+            // From nothing, each balancer of many came to its first connection late, and all at the same time.
+            budget: Cell::new(rounding),
             budget_at: Cell::new(now),
             groups: RefCell::new(BTreeMap::new()),
             report: Cell::new(None),
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -683,3 +683,27 @@
     let book = &stand.watcher.books.borrow()[&id];
     assert_eq!((book.sent.len(), book.answers), (1, 1), "answered at once");
 }
+
+/// A rolling deploy at full size (incheon-main): each balancer's part of a cold server fills to one connection only as
+/// the server gets warm, so that with budgets from zero nobody sent any, and then all at once.
+#[test]
+fn siblings_first_connections_to_a_cold_server_lie_evenly_in_time() {
+    let sent_by = |after: f64| {
+        let mut sent = 0;
+        for seed in 0..40 {
+            let mut stand = Stand::new(seed, legs_of(3), 0.0, false, vec![traffic(Effect::Repeatable)]);
+            stand.list(News::Remembered, &(0..4).map(|i| server(i, 0, 1.0)).collect::<Vec<_>>());
+            for at in 0..8 {
+                stand.watcher.now.set(100.0 + f64::from(at) * 4.0);
+                stand.standing(1.0);
+            }
+            let now = stand.now();
+            stand.list(News::Changes, &[Listed { started: Some(now), ..server(9, 0, 1.0) }]);
+            stand.watcher.now.set(now + after);
+            sent += u32::from(stand.standing(1.0).1 == 9);
+        }
+        sent
+    };
+    let (soon, later) = (sent_by(0.5), sent_by(1.5));
+    assert!((1..=20).contains(&soon) && later > soon && later < 40, "{soon}, then {later} of 40");
+}
