--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -40,8 +40,7 @@
 const EASE: f64 = 0.7;
 /// The golden section: its multiples spread evenly between 0 and 1, however many there are.
 const GOLDEN: f64 = 0.618_033_988_749_895;
-/// A server that holds none of a group counts as this many mean connections more, and one for each server's part of
-/// the group by which it ranks lower.
+/// A server without a group's calls counts as so many mean connections more, and one for each part it ranks lower.
 const BASE: f64 = 2.0;
 /// A server that holds as many as the mean one counts as this many mean connections more, where the list tells.
 const CROWDED: f64 = 2.0;
@@ -52,6 +51,8 @@
 /// A call waits for a probe's answer this part of its setup target.
 const HEARD: f64 = 0.125;
 /// With room nowhere else, a server is relieved once a message takes this many of the shortest message targets.
+/// A limit grows back by an e-fold in this many of the longest guard times.
+const REGROWN: f64 = 2.0;
 const LATE: f64 = 3.0;
 
 impl Watch {
@@ -379,7 +380,7 @@
         // With no server at home, the others share what there is.
         let per_weight = total / if near > 0.0 { near } else { ready }.max(f64::MIN_POSITIVE);
         let mean_share = per_weight * ready / f64::max(count, 1.0);
-        let (mean, growth) = (self.mean_load() * GRAIN, self.memory());
+        let (mean, growth) = (self.mean_load() * GRAIN, REGROWN * self.longest_guard);
         let rate = call.rate.get() * GRAIN;
         // A shop beyond its share stops earlier, so that the others keep theirs when there is not enough.
         let room = ROOM * (0.5 + 0.5 * self.shares.worth(call.wanted.shop, self.siblings));
@@ -537,7 +538,7 @@
         if now - server.cut_at.get() < SETTLE * self.longest_guard && server.limit.get().is_finite() {
             return;
         }
-        server.cut(now, part, self.memory(), self.mean_load() * GRAIN);
+        server.cut(now, part, REGROWN * self.longest_guard, self.mean_load() * GRAIN);
         let calls = server.calls.borrow();
         let mut standing: Vec<Rc<Call>> =
             calls.values().filter_map(Weak::upgrade).filter(|c| c.stage.get() == Stage::Standing).collect();
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -707,3 +707,20 @@
     let (soon, later) = (sent_by(0.5), sent_by(1.5));
     assert!((1..=20).contains(&soon) && later > soon && later < 40, "{soon}, then {later} of 40");
 }
+
+/// With a few connections on each of many servers, limits cut in a passing crowd kept calls out for half a minute from
+/// servers with room (incheon-main, a drawn day: 43% refused while those that stood were served).
+#[test]
+fn a_limit_lets_calls_in_again_soon_after_a_passing_crowd() {
+    let mut stand = Stand::plain();
+    stand.list(News::Remembered, &[server(1, 0, 1.0)]);
+    let calls: Vec<u64> = (0..20).map(|_| stand.standing(1.0).0).collect();
+    stand.watcher.now.set(101.0);
+    stand.calls[&calls[0]].messages_take(101.0, 0, 0.04);
+    let answers = |stand: &Stand, id: u64| stand.watcher.books.borrow()[&id].answers;
+    let turned_away = stand.take(0, Some(1.0), None);
+    assert_eq!(answers(&stand, turned_away), 1, "it holds what it carries");
+    stand.watcher.now.set(105.0);
+    let later = stand.take(0, Some(1.0), None);
+    assert_eq!((answers(&stand, later), stand.at(later)), (0, Some(1)));
+}
