The program takes both shapes from its settings, and refuses a mixture by its key

On loopback, against stand-ins: with weights live a proxy places none of three on the crowded server, as nominal at least one.

--- a/crates/dewhead-proxy/src/lifecycle/configuration.rs
+++ b/crates/dewhead-proxy/src/lifecycle/configuration.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::listing::listing;
 use dewhead_startup::fields::{field, maybe, text, whole, wrong, Outcome};
-use dewhead_startup::Startup;
+use dewhead_startup::{shape, Startup};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -66,7 +66,8 @@
     }
 
     pub fn read(told: &Value) -> Outcome<Configuration> {
-        let startup = field(told, "settings").and_then(Startup::read).map_err(|e| {
+        let settings = |of| shape::check(of).and_then(|()| Startup::read(of));
+        let startup = field(told, "settings").and_then(settings).map_err(|e| {
             if told["settings"].is_null() {
                 e
             } else {
--- a/crates/dewhead-proxy/tests/configuration.rs
+++ b/crates/dewhead-proxy/tests/configuration.rs
@@ -55,3 +55,54 @@
     let after = Configuration::read(&told).unwrap().fixed;
     assert_eq!(before.differing(&after), ["listen", "settings.deductions", "settings.tenants"]);
 }
+
+/// What ktm-ingest's proxies are told, on top of the usual: weights that move with load, and reports on probes.
+fn live(told: &mut Value) {
+    told["settings"]["weights"] = json!("live");
+    told["settings"]["feedback"] = json!({"how": "on_probe", "fields": ["queue", "qps", "x0"]});
+    told["settings"]["limits"]["probes"] = json!(true);
+}
+
+#[test]
+fn one_build_takes_either_shape_and_refuses_a_mixture_by_its_key() {
+    type Change = fn(&mut Value);
+    let shapes: [Change; 3] = [
+        |_| {},
+        live,
+        |v| {
+            // All in one location, and a list that must be asked for.
+            v["settings"]["azs"] = json!(["east"]);
+            v["settings"]["membershipMode"] = json!("subscribe");
+            v["settings"]["weights"] = json!("rough");
+            v["known"] = Value::Null;
+        },
+    ];
+    for shape in shapes {
+        let mut told = sound();
+        shape(&mut told);
+        assert!(Configuration::read(&told).is_ok(), "{:?}", Configuration::read(&told).err());
+    }
+    let mixtures: [(&str, Change); 7] = [
+        ("'weights' names unknown", |v| v["settings"]["weights"] = json!("lively")),
+        ("'weights' is live", |v| v["settings"]["membershipMode"] = json!("subscribe")),
+        ("'limits.probes'", |v| v["settings"]["limits"]["probes"] = json!(false)),
+        ("'feedback.fields'", |v| v["settings"]["feedback"]["fields"] = json!(["queue"])),
+        ("'feedback.how'", |v| v["settings"]["feedback"]["how"] = json!("inline")),
+        ("'feedback.how' names unknown", |v| v["settings"]["feedback"]["how"] = json!("at times")),
+        ("'deductions.crossZone'", |v| {
+            v["settings"]["azs"] = json!(["east"]);
+            v["settings"]["deductions"]["crossZone"] = json!(0.03);
+        }),
+    ];
+    for (key, change) in mixtures {
+        let mut told = sound();
+        live(&mut told);
+        change(&mut told);
+        let fault = Configuration::read(&told).err().expect(key);
+        assert!(fault.contains(key) && !fault.contains('\n'), "{key}: {fault}");
+    }
+    let (mut told, before) = (sound(), Configuration::read(&sound()).unwrap().fixed);
+    live(&mut told);
+    let after = Configuration::read(&told).unwrap().fixed;
+    assert_eq!(before.differing(&after), ["settings.feedback", "settings.limits", "settings.weights"]);
+}
--- a/crates/dewhead-proxy/tests/sockets.rs
+++ b/crates/dewhead-proxy/tests/sockets.rs
@@ -9,10 +9,10 @@
 use dewhead_startup::Startup;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::process::{Command, Stdio};
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a loopback port")
@@ -25,14 +25,14 @@
 }
 
 /// Takes each connection up and says every line back.
-fn serve(listener: TcpListener) {
+fn serve(listener: TcpListener, up: &'static str) {
     for socket in listener.incoming() {
         let mut socket = socket.expect("a connection");
         thread::spawn(move || {
             let mut lines = BufReader::new(socket.try_clone().unwrap());
             let head = line(&mut lines);
             assert!(head.contains("5c7e2d41 7f3a9c21e0b4d655 c=feed,t=shop-a,d="), "{head}");
-            socket.write_all(b"UP 42\r\n").unwrap();
+            socket.write_all(up.as_bytes()).unwrap();
             loop {
                 let said = line(&mut lines);
                 if said.is_empty() || socket.write_all(said.as_bytes()).is_err() {
@@ -57,34 +57,81 @@
     }
 }
 
-#[test]
-fn a_connection_lives_and_is_sent_away_at_a_stop() {
-    let (servers, discovery, own) = (listener(), listener(), listener());
-    let entry = json!({"host": "s-1", "dial": servers.local_addr().unwrap().to_string(), "site": ZONES[0], "block": 0,
-                       "health": "ready", "share": 1.0, "born_ms": 0});
-    let (told_at, at) = (discovery.local_addr().unwrap(), own.local_addr().unwrap());
-    thread::spawn(move || serve(servers));
-    thread::spawn(move || tell(discovery, list(5, true, vec![entry])));
+/// A proxy on a thread of its own, with these settings, once it listens and has its list; and how it is stopped.
+fn proxy(settings: Value, discovery: SocketAddr) -> (SocketAddr, UnixStream, JoinHandle<()>) {
+    let own = listener();
+    let at = own.local_addr().unwrap();
     own.set_nonblocking(true).unwrap();
     let ours = mio::net::TcpListener::from_std(own);
-    let (theirs, mut stop) = UnixStream::pair().unwrap();
-    let proxy = thread::spawn(move || {
+    let (theirs, stop) = UnixStream::pair().unwrap();
+    let running = thread::spawn(move || {
         let clock = Clock::start();
-        let startup = Startup::read(&settings()).unwrap();
-        let reducer = Reducer::new(clock.now(), startup, 3, told_at, 256, &Value::Null);
+        let startup = Startup::read(&settings).unwrap();
+        let reducer = Reducer::new(clock.now(), startup, 3, discovery, 256, &Value::Null);
         let (_, never) = UnixStream::pair().unwrap();
         Turn::new(clock, reducer, ours, theirs, (never, Box::new(|| None))).unwrap().run().unwrap();
     });
-    // It answers once it listens and has its list.
     loop {
         let Ok(mut socket) = TcpStream::connect(at) else { continue };
         let mut said = String::new();
         socket.write_all(b"PING\r\n").unwrap();
         let mut lines = BufReader::new(&socket);
         if lines.read_line(&mut said).is_ok() && said == "PONG\r\n" {
-            break;
+            return (at, stop, running);
         }
     }
+}
+
+/// The shape of ktm-ingest on sockets: weights move with load, reports would come on probes, for which there is no word.
+#[test]
+fn weights_that_move_with_load_are_followed_from_the_settings_alone() {
+    let placed = |live: bool| {
+        let (crowded, empty, discovery) = (listener(), listener(), listener());
+        let entry = |host: &str, of: &TcpListener, share: f64| {
+            json!({"host": host, "dial": of.local_addr().unwrap().to_string(), "site": ZONES[0], "block": 0,
+                   "health": "ready", "share": share, "born_ms": 0})
+        };
+        let told = list(5, true, vec![entry("s-1", &crowded, 0.1), entry("s-2", &empty, 0.9)]);
+        let told_at = discovery.local_addr().unwrap();
+        thread::spawn(move || serve(crowded, "UP 1\r\n"));
+        thread::spawn(move || serve(empty, "UP 2\r\n"));
+        thread::spawn(move || tell(discovery, told));
+        let mut settings = settings();
+        settings["limits"]["probes"] = json!(true);
+        settings["feedback"] = json!({"how": "on_probe", "fields": ["x0"]});
+        settings["weights"] = json!(if live { "live" } else { "nominal" });
+        // One leg, so that nothing but the first choice counts.
+        settings["limits"]["mostLegs"] = json!(1);
+        let (at, mut stop, running) = proxy(settings, told_at);
+        let clients: Vec<(TcpStream, String)> = (0..3)
+            .map(|n| {
+                let mut client = TcpStream::connect(at).unwrap();
+                write!(client, "OPEN 9b1f03a{n}5c7e2d41 7f3a9c21e0b4d655 c=feed,t=shop-a,d=1500\r\n")
+                    .unwrap();
+                let up = line(&mut BufReader::new(client.try_clone().unwrap()));
+                (client, up)
+            })
+            .collect();
+        let on_crowded = clients.iter().filter(|(_, up)| up == "UP 1\r\n").count();
+        assert!(clients.iter().all(|(_, up)| up.starts_with("UP ")), "each is served");
+        drop(clients);
+        stop.write_all(b"x").unwrap();
+        running.join().unwrap();
+        on_crowded
+    };
+    // As a size, a tenth gets one of three by the rounding; as what servers hold, none while the other has room.
+    assert_eq!((placed(true), placed(false) > 0), (0, true));
+}
+
+#[test]
+fn a_connection_lives_and_is_sent_away_at_a_stop() {
+    let (servers, discovery) = (listener(), listener());
+    let entry = json!({"host": "s-1", "dial": servers.local_addr().unwrap().to_string(), "site": ZONES[0], "block": 0,
+                       "health": "ready", "share": 1.0, "born_ms": 0});
+    let told_at = discovery.local_addr().unwrap();
+    thread::spawn(move || serve(servers, "UP 42\r\n"));
+    thread::spawn(move || tell(discovery, list(5, true, vec![entry])));
+    let (at, mut stop, running) = proxy(settings(), told_at);
     let mut client = TcpStream::connect(at).unwrap();
     let mut lines = BufReader::new(client.try_clone().unwrap());
     client.write_all(b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=feed,t=shop-a,d=1500\r\n").unwrap();
@@ -104,7 +151,7 @@
     assert_eq!(line(&mut lines), "MOVE\r\n");
     assert_eq!(line(&mut lines), "", "and the end behind it");
     drop((client, lines));
-    proxy.join().unwrap();
+    running.join().unwrap();
 }
 
 /// SIGHUP used to end the program. Here it is the program itself, told three times: once while its file is faulty.
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -2,6 +2,7 @@
 //! adapter and the proxy, make their balancer of it.
 
 pub mod fields;
+pub mod shape;
 
 use dewhead::outward::Outward;
 use dewhead::state::{Balancer, Legs, Place, Shares, Thaw, Watch};
@@ -45,7 +46,8 @@
     legs: Legs,
     park: f64,
     live: bool,
-    probes: bool,
+    /// Whether servers tell their load when probed, where the host has a word for it.
+    pub probes: bool,
 }
 
 impl Startup {
