Groups spill three parts down their ranks, fewer as servers close; pass-through parking goes

A closed server sent its group's calls to the next rank, without end. Now a server that ranks more than three parts of the group down, less the closed part of its location, one at the least, is no candidate (pick); with none left the call is rejected at once. Parking of passing connections went, with the call's key: no site file, old or new, has a deployment that passes packets through.

--- a/crates/dewhead-proxy/src/wire/head.rs
+++ b/crates/dewhead-proxy/src/wire/head.rs
@@ -45,20 +45,13 @@
         return Err("neither OPEN nor PING");
     }
     let id = parts.next().filter(|id| id.len() == 16).and_then(hex).ok_or("the id is not 16 hex digits")?;
-    let key = parts.next().and_then(hex).ok_or("the key is not hex digits")?;
+    parts.next().and_then(hex).ok_or("the key is not hex digits")?;
     let list = parts.next().ok_or("no list of names and values")?;
     if parts.next().is_some() {
         return Err("not four words");
     }
-    let mut wanted = Wanted {
-        traffic: usize::MAX,
-        shop: None,
-        until: now + longest,
-        hint: None,
-        group: None,
-        key: Some(key),
-        midflow: false,
-    };
+    let mut wanted =
+        Wanted { traffic: usize::MAX, shop: None, until: now + longest, hint: None, group: None };
     let (mut wait, mut held_at, mut seen) = (0..0, None, [false; NAMES.len()]);
     // The list is the line's last word.
     let mut at = text.len() - list.len();
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -44,7 +44,6 @@
     moving: f64,
     thaw: Thaw,
     legs: Legs,
-    park: f64,
     live: bool,
     /// Whether servers tell their load when probed, where the host has a word for it.
     pub probes: bool,
@@ -116,7 +115,6 @@
             moving: number(prices, "moves")?,
             thaw,
             legs,
-            park: maybe(nature, "park", seconds)?.unwrap_or(0.0),
             live: match maybe(told, "weights", text)?.unwrap_or("nominal") {
                 "live" => true,
                 "off" | "nominal" | "rough" => false,
@@ -146,7 +144,6 @@
             self.thaw,
             self.legs,
             if self.groups { 1.0 } else { 0.0 },
-            self.park,
             self.live,
             self.probes,
         );
--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -178,8 +178,6 @@
                     // Milliseconds of work a second.
                     hint: maybe(of, "costGuess", seconds)?,
                     group: maybe(of, "teamId", whole)?,
-                    key: maybe(of, "routeKey", whole)?,
-                    midflow: maybe(of, "midflow", truth)?.unwrap_or(false),
                 };
                 let call = match name {
                     "INGRESS" => self.balancer.take(now, id, wanted),
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -53,6 +53,8 @@
 /// With room nowhere else, a server is relieved once a message takes this many of the shortest message targets.
 /// A limit grows back by an e-fold in this many of the longest guard times.
 const REGROWN: f64 = 2.0;
+/// A group spills over to servers that rank this many parts of it down, and fewer as servers close.
+const SPILL: f64 = 3.0;
 const LATE: f64 = 3.0;
 
 impl Watch {
@@ -441,7 +443,13 @@
                 if (age < self.thaw.warm_after || filling) && !self.within_budget(now, server, age) {
                     continue;
                 }
-                left -= self.group_price(call, server, mean, part);
+                let price = self.group_price(call, server, mean, part);
+                // Where much is closed, a group that spread further would bring more load than its calls ask.
+                let parts = (SPILL * (1.0 - location.closed.get())).max(1.0);
+                if price > (BASE + parts) * mean {
+                    continue;
+                }
+                left -= price;
             }
             let rested = now - server.judged_at.get().max(server.tried_at.get()) > self.longest_guard;
             if server.sick(now, memory) && !rested {
@@ -621,7 +629,7 @@
         if sent >= balancer.legs.most || guard <= 0.0 || (sent > 0 && balancer.shared_fault(now)) {
             return false;
         }
-        let Some(server) = self.held_at(now).or_else(|| balancer.pick(now, self, 1.0)) else { return false };
+        let Some(server) = balancer.pick(now, self, 1.0) else { return false };
         if sent == 0 && self.probe(now, &server) {
             return true;
         }
@@ -670,17 +678,6 @@
         }
     }
 
-    /// A connection whose packets went elsewhere for a while goes on where it is still held.
-    fn held_at(&self, now: f64) -> Option<Rc<Server>> {
-        if !self.wanted.midflow {
-            return None;
-        }
-        let key = self.wanted.key?;
-        let parked = self.balancer.parked.borrow();
-        let found = parked.iter().rev().find(|(until, k, _)| *k == key && *until > now)?;
-        found.2.upgrade().filter(|s| s.state.get() == State::Ready && self.allows(now, s))
-    }
-
     fn place(self: &Rc<Self>, now: f64, server: Rc<Server>) {
         let load = (self.rate.get() * self.busy.get() * GRAIN) as i64;
         self.balancer.sum(&server, load);
@@ -830,9 +827,6 @@
             }
             Ending::Served | Ending::Cancelled | Ending::NotSent => {}
         }
-        if ending == Ending::Cancelled && balancer.park > 0.0 {
-            self.park(now, &server);
-        }
         if ending.may_have_run() && self.may_have_run.get().is_none() {
             let sent_at = self.legs.borrow()[leg].sent_at;
             self.may_have_run.set(Some((server.zone, server.cell, sent_at)));
@@ -847,16 +841,6 @@
         }
     }
 
-    fn park(&self, now: f64, server: &Rc<Server>) {
-        let mut parked = self.balancer.parked.borrow_mut();
-        while parked.front().is_some_and(|(until, ..)| *until <= now) {
-            parked.pop_front();
-        }
-        if let Some(key) = self.wanted.key {
-            parked.push_back((now + self.balancer.park, key, Rc::downgrade(server)));
-        }
-    }
-
     /// The client left before an answer, or was cut off; none is owed.
     pub fn left(&self) {
         self.stage.set(Stage::Answered);
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -4,7 +4,7 @@
 use crate::terms::{Listed, Shop, State, TrafficType, Wanted};
 use oorandom::Rand64;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::rc::{Rc, Weak};
 
 /// Following the list of servers where it must be asked for.
@@ -216,9 +216,6 @@
     pub(crate) sick_share: Cell<f64>,
     pub(crate) longest_guard: f64,
     pub(crate) shortest_message: f64,
-    /// Keys of connections that went elsewhere, kept while a server may still hold them.
-    pub(crate) parked: RefCell<VecDeque<(f64, u64, Weak<Server>)>>,
-    pub(crate) park: f64,
     pub(crate) ask_at: Cell<f64>,
 }
 
@@ -251,7 +248,6 @@
         thaw: Thaw,
         legs: Legs,
         group_cost: f64,
-        park: f64,
         live: bool,
         probes: bool,
     ) -> Rc<Balancer> {
@@ -287,8 +283,6 @@
             sick_share: Cell::new(0.0),
             longest_guard,
             shortest_message,
-            parked: RefCell::new(VecDeque::new()),
-            park,
             ask_at: Cell::new(f64::INFINITY),
         })
     }
--- a/crates/dewhead/src/terms.rs
+++ b/crates/dewhead/src/terms.rs
@@ -62,8 +62,6 @@
     pub until: f64,
     pub hint: Option<f64>,
     pub group: Option<u64>,
-    pub key: Option<u64>,
-    pub midflow: bool,
 }
 
 /// How a leg ended.
