--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -52,7 +52,7 @@
 const HEARD: f64 = 0.125;
 /// With room nowhere else, a server is relieved once a message takes this many of the shortest message targets.
 /// A limit grows back by an e-fold in this many of the longest guard times.
-const REGROWN: f64 = 2.0;
+const REGROWN: f64 = 3.0;
 /// A group spills over to servers that rank this many parts of it down, and fewer as servers close.
 const SPILL: f64 = 3.0;
 const LATE: f64 = 3.0;
