Figures that no deployment can mean are refused at the start, by their key

shape::check: obligations, legs, targets and guard times above 0, coldShare at most 1, no negative price. Six more cases in the test.

--- a/crates/dewhead-proxy/tests/configuration.rs
+++ b/crates/dewhead-proxy/tests/configuration.rs
@@ -82,7 +82,13 @@
         shape(&mut told);
         assert!(Configuration::read(&told).is_ok(), "{:?}", Configuration::read(&told).err());
     }
-    let mixtures: [(&str, Change); 7] = [
+    let mixtures: [(&str, Change); 13] = [
+        ("'weights' is not", |v| v["settings"]["weights"] = json!(1)),
+        ("'obligations.cold'", |v| v["settings"]["obligations"]["cold"] = json!(-1.0)),
+        ("'obligations.coldShare'", |v| v["settings"]["obligations"]["coldShare"] = json!(1.5)),
+        ("'limits.mostLegs'", |v| v["settings"]["limits"]["mostLegs"] = json!(0)),
+        ("'deductions.moves'", |v| v["settings"]["deductions"]["moves"] = json!(-0.1)),
+        ("'trafficTypes.guardTime'", |v| v["settings"]["trafficTypes"][0]["guardTime"] = json!(0)),
         ("'weights' names unknown", |v| v["settings"]["weights"] = json!("lively")),
         ("'weights' is live", |v| v["settings"]["membershipMode"] = json!("subscribe")),
         ("'limits.probes'", |v| v["settings"]["limits"]["probes"] = json!(false)),
--- a/crates/dewhead-startup/src/shape.rs
+++ b/crates/dewhead-startup/src/shape.rs
@@ -31,5 +31,35 @@
     if array(told, "azs")?.len() == 1 && number(field(told, "deductions")?, "crossZone")? > 0.0 {
         return Err("field 'deductions.crossZone' prices a crossing, but 'azs' names one location".into());
     }
+    figures(told)
+}
+
+/// Figures that no deployment can mean.
+fn figures(told: &Value) -> Outcome<()> {
+    let above_zero = |part: &str, names: &[&str]| -> Outcome<()> {
+        for name in names {
+            if number(field(told, part)?, name)? <= 0.0 {
+                return Err(format!("field '{part}.{name}' is not above 0"));
+            }
+        }
+        Ok(())
+    };
+    above_zero("obligations", &["coldShare", "cold", "fallMultiple", "tipAfter"])?;
+    above_zero("limits", &["mostLegs"])?;
+    if number(field(told, "obligations")?, "coldShare")? > 1.0 {
+        return Err("field 'obligations.coldShare' is over 1".into());
+    }
+    for name in ["crossZone", "moves"] {
+        if number(field(told, "deductions")?, name)? < 0.0 {
+            return Err(format!("field 'deductions.{name}' is negative"));
+        }
+    }
+    for one in array(told, "trafficTypes")? {
+        for name in ["setupTarget", "guardTime"] {
+            if number(one, name)? <= 0.0 {
+                return Err(format!("field 'trafficTypes.{name}' is not above 0"));
+            }
+        }
+    }
     Ok(())
 }
