A request can be followed by its client's id through every proxy, at debug level

Opened, each leg with server and time, stands, how each leg ends, what the client is told: one line each, with the id that the client gave.

--- a/crates/dewhead-proxy/src/memory/sessions.rs
+++ b/crates/dewhead-proxy/src/memory/sessions.rs
@@ -5,6 +5,7 @@
 use crate::wire::lines::Lines;
 use dewhead::state::Call;
 use dewhead::terms::{Ending, Wanted};
+use std::fmt;
 use std::ops::Range;
 use std::rc::Rc;
 
@@ -58,7 +59,23 @@
     pub returning: Option<(u32, Wanted)>,
 }
 
+/// The client's id of a session, for the log: by it a request is followed through all proxies that it came to.
+pub struct Who(Option<u64>);
+
+impl fmt::Display for Who {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(id) => write!(f, "{id:016x}"),
+            None => f.write_str("a client"),
+        }
+    }
+}
+
 impl Session {
+    pub fn who(&self) -> Who {
+        Who(self.named)
+    }
+
     /// The leg that it stands on, also while its last lines go through.
     pub fn bound(&self) -> Option<usize> {
         match self.stage {
--- a/crates/dewhead-proxy/src/reducer/clients.rs
+++ b/crates/dewhead-proxy/src/reducer/clients.rs
@@ -164,6 +164,7 @@
                 session.wait = wait;
                 session.traffic = wanted.traffic;
                 let (id, until) = (session.id, wanted.until);
+                debug!("{}: opens, {}", session.who(), String::from_utf8_lossy(&session.head).trim_end());
                 self.loiter_no_more(key);
                 let session = &mut self.sessions[key];
                 match held_at.map(|at| std::str::from_utf8(&session.head[at]).map_or(0, number_of)) {
@@ -222,6 +223,7 @@
         if self.sessions[key].stage == Stage::Parting {
             return;
         }
+        debug!("{}: is told {}", self.sessions[key].who(), String::from_utf8_lossy(&text).trim_end());
         self.part(now, key);
         self.end_legs(now, key, How::Closed);
         if !text.is_empty() {
--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -5,6 +5,7 @@
 use crate::wire::answers::{self, word, Word};
 use crate::wire::lines::first;
 use dewhead::terms::Ending;
+use log::debug;
 
 impl Reducer {
     pub(super) fn send(&mut self, now: f64, key: usize, server: u32, limit: f64) {
@@ -43,6 +44,7 @@
             farewell: None,
         });
         self.sessions[key].legs.push((number, leg));
+        debug!("{}: leg {number} to server {server:x}, for {:.3} s", self.sessions[key].who(), until - now);
         self.descriptors.used += 1;
         self.effects.push(Effect::Dial(leg, to));
         true
@@ -100,6 +102,7 @@
         let session = &mut self.sessions[key];
         session.stage = Stage::Standing;
         session.head = Vec::new();
+        debug!("{}: stands at server {server:x}, {:.3} s after it was asked", session.who(), now - asked_at);
         if let Some((_, wanted)) = session.returning.take() {
             let call = self.balancer.adopt(now, session.id, wanted, server);
             session.call = Some(call);
@@ -180,6 +183,8 @@
     pub(super) fn end_leg(&mut self, now: f64, leg: usize, ending: Ending, last: bool, how: How) {
         self.tell_leg_ended(now, leg, ending, last);
         let out = self.legs.remove(leg);
+        let session = &self.sessions[out.session];
+        debug!("{}: leg {} at server {:x} ends: {ending:?}", session.who(), out.number, out.server);
         if let Some(timer) = out.timer {
             self.timers.cancel(timer);
         }
