Crossing costs at least the server's own part, so that large ones abroad are not free

With a third of a connection a server, each of 300 proxies saw a large server abroad at 1.84 - 1.2 mean parts, above its own small ones at 0.7, and filled it: harmless in one, not in all together. Line: crossing in pick. Ruled out: limits, breaks and refusals (six Full in 25 s).

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -417,8 +417,9 @@
             if closed || (unknown && server.rounding < location.closed.get()) {
                 continue;
             }
-            // Crossing costs the same whatever the server's size, so that Eq. 1 tells servers abroad apart.
-            let crossing = (1.0 - factor) * mean_share;
+            // Crossing costs a mean part at the least, and no less than the part of the server itself: the largest abroad
+            // else seemed free to each of many balancers.
+            let crossing = (1.0 - factor) * share.max(mean_share);
             // Legs not yet answered weigh more: set-up is work, and a server that answers none is slow.
             let waiting = WAITING * mean * f64::from(server.waiting.get());
             let mut left = share.min(limit) - crossing - load - waiting + server.rounding * mean;
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -727,3 +727,15 @@
     // 16 placements of each over 13 servers are 74 for one; the cold server bears 0.44 of that on the mean.
     assert!((20..=60).contains(&sent), "{sent} placements");
 }
+
+/// Crossing cost a mean server's part, so that each balancer of a calm fleet filled the largest servers of the other
+/// locations while its own small ones stood nearly empty: 14 of 90 servers had 4 to 7 cores, 40 had under 1.
+#[test]
+fn a_large_server_abroad_is_not_free() {
+    let mut stand = Stand::new(7, legs_of(3), 0.1, false, vec![traffic(Effect::Repeatable)]);
+    let mut listed = fleet(4, 1.0);
+    listed.push(server(9, 1, 5.0));
+    stand.list(News::Remembered, &listed);
+    let abroad = (0..40).filter(|_| stand.standing(1.0).1 == 9).count();
+    assert_eq!(abroad, 0, "of 40, while home has room");
+}
