The cold budget is reckoned where a balancer's calls go, by the part that R_i is shared by

Budgets were reckoned over the servers of all locations, but Eq. 1 sends abroad only where home is closed: two thirds of each balancer's budget lay where it sends nothing. Lines: held_by_weight in pick, part in within_budget. The sum over all stays what it was where locations are alike.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -364,15 +364,26 @@
         // time; the decisions below would else wait for memory at each of them.
         let (mut near, mut ready, mut count) = (0.0, 0.0, 0.0);
         let (mut emptiest, mut inverse): (f64, f64) = (0.0, 0.0);
+        let (mut held, mut ours) = (0.0, 0.0);
         for server in servers.iter() {
+            let part = self.place.factor(server.zone, 1.0).max(0.0);
+            held += part * f64::from(server.held.get());
             let here = f64::from(u8::from(server.state.get() == State::Ready));
             let weight = self.size(server);
             near += here * weight * self.place.factor(server.zone, price).max(0.0);
+            ours += here * weight * part;
             ready += here * weight;
             count += here;
             emptiest = emptiest.max(here * server.weight.get());
             inverse += here / server.weight.get().max(f64::MIN_POSITIVE);
         }
+        // What a crowd has just brought is not yet what a server carries: it counts over the warm-up. Not so what comes
+        // back to a balancer that has started itself: in a rolling restart none else had a part to fill new servers by.
+        let (held, before) = (held / f64::max(ours, f64::MIN_POSITIVE), self.held_by_weight.get());
+        let gap = (now - self.picked_at.replace(now)).max(0.0) / self.thaw.warm_after;
+        let young = now - self.began.get() < self.thaw.warm_after;
+        let rise = if young { 0.0 } else { (held - before).max(0.0) * (-gap).exp() };
+        self.held_by_weight.set(held - rise);
         // Where weights move with load, a weight is a size over one more than what the server holds a core: how much
         // more than the emptiest, against the mean of that over all. All balancers are told the same, so that what
         // one alone can't see, with a few connections on many servers, is seen.
@@ -473,14 +484,6 @@
         if reported.1 > 0.0 {
             self.reported.set(reported.0 / reported.1);
         }
-        // What a crowd has just brought is not yet what a server carries: it counts over the warm-up. Not so what comes
-        // back to a balancer that has started itself: in a rolling restart none else had a part to fill new servers by.
-        let (held, before) =
-            (f64::from(self.held.get()) / ready.max(f64::MIN_POSITIVE), self.held_by_weight.get());
-        let gap = (now - self.picked_at.replace(now)).max(0.0) / self.thaw.warm_after;
-        let young = now - self.began.get() < self.thaw.warm_after;
-        let rise = if young { 0.0 } else { (held - before).max(0.0) * (-gap).exp() };
-        self.held_by_weight.set(held - rise);
         self.sick_share.set(sick / ready.max(f64::MIN_POSITIVE));
         best.or(second).map(|(_, server)| server.clone())
     }
@@ -504,10 +507,11 @@
     }
 
     /// Rule 4: this balancer's part of what a cold server can take. A server here holds so many own
-    /// connections for its weight, and one that starts is filled over its warm-up; the budget fills at that
-    /// pace times the present share, the multiple and a margin, or at one connection a window for all.
+    /// connections for its weight, by the same part of the price as in R_i, as only who is near sends there in the
+    /// usual case, and one that starts is filled over its warm-up; the budget fills at that pace times the present share, the multiple and a margin, or at one connection a window for all.
     fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
-        let part = self.held_by_weight.get() * self.size(server) * self.thaw.present(age);
+        let near = self.place.factor(server.zone, 1.0).max(0.0);
+        let part = near * self.held_by_weight.get() * self.size(server) * self.thaw.present(age);
         let least = 1.0 / (self.siblings * self.thaw.window);
         // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
         // makes it fall.
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -212,7 +212,7 @@
     pub(crate) held: Cell<u32>,
     /// Group -> own connections of it, the sum over the servers, which each pick wants; an entry goes with its last one.
     pub(crate) groups: RefCell<BTreeMap<u64, u32>>,
-    /// Own connections for each unit of the ready servers' weight, cold ones too, at the last pick.
+    /// Own connections for each unit of the ready servers' weight, cold ones too, near ones for the most, at the last pick.
     pub(crate) held_by_weight: Cell<f64>,
     pub(crate) picked_at: Cell<f64>,
     /// When this balancer began.
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -739,3 +739,27 @@
     let abroad = (0..40).filter(|_| stand.standing(1.0).1 == 9).count();
     assert_eq!(abroad, 0, "of 40, while home has room");
 }
+
+/// Of three locations each balancer sent to cold servers of its own, but had a third of a budget for them: reckoned over
+/// the servers of all, two thirds were for those that it does not send to (rolling day of 300 proxies).
+#[test]
+fn the_cold_budget_is_reckoned_where_calls_are_sent() {
+    let first_after = |servers: u32, seed: u64| {
+        let mut stand = Stand::new(seed, legs_of(3), 0.12, false, vec![traffic(Effect::Repeatable)]);
+        let mut listed = fleet(6, 1.0);
+        listed.extend((0..servers).map(|at| server(20 + at, 1 + at as usize % 2, 1.0)));
+        stand.list(News::Whole, &listed);
+        (0..6).for_each(|_| _ = stand.standing(1.0));
+        stand.list(News::Changes, &[Listed { started: Some(stand.now()), ..server(99, 0, 1.0) }]);
+        let sent = (0..120).find(|step| {
+            stand.watcher.now.set(100.0 + f64::from(*step) * 0.05);
+            let (id, at) = stand.standing(1.0);
+            stand.end(id, 0, Ending::Served);
+            at == 99
+        });
+        sent.unwrap_or(120) as u32
+    };
+    let steps = |servers| (0..20).map(|seed| first_after(servers, seed)).sum::<u32>();
+    let (alone, among) = (steps(0), steps(12));
+    assert!(among < alone + alone / 4, "{alone} steps, and {among} with others abroad");
+}
