Nobody is called home by a balancer with less than a connection a server, which sees no room

Line: call_home takes any home server with room under half its limit; 23 connections on 88 servers never meet a limit.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -220,8 +220,11 @@
             let asked = s.report.get().map_or(0.0, |(asked, _)| asked);
             s.load.get() as f64 <= 0.5 * s.limit(now, memory) && asked < 0.7 && !s.health.sick(now, memory, 2)
         };
+        // With less than a connection a server room is not seen: 300 balancers took home for empty, and crowded it.
+        let ready = servers.iter().filter(|s| s.state.get() == State::Ready).count();
+        let unseen = (self.held.get() as usize) < ready;
         // Called home while others are turned away, connections would only join those.
-        if !room.any(roomy) || now - self.refused_at.get() < self.longest_guard {
+        if unseen || !room.any(roomy) || now - self.refused_at.get() < self.longest_guard {
             return;
         }
         let mut abroad: Vec<Rc<Call>> = Vec::new();
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -763,3 +763,21 @@
     let (alone, among) = (steps(0), steps(12));
     assert!(among < alone + alone / 4, "{alone} steps, and {among} with others abroad");
 }
+
+/// 300 proxies with 23 connections on 88 servers moved two thirds of a calm fleet home within three seconds, where it
+/// stood over its capacity.
+#[test]
+fn nobody_is_called_home_by_a_balancer_that_holds_less_than_one_a_server() {
+    let moved = |servers: u32| {
+        let mut stand = Stand::new(1, legs_of(3), 0.12, false, vec![traffic(Effect::Repeatable)]);
+        stand.list(News::Whole, &[server(1, 1, 1.0)]);
+        (0..10).for_each(|_| _ = stand.standing(0.1));
+        let home: Vec<_> = (0..servers).map(|at| server(10 + at, 0, 1.0)).collect();
+        stand.list(News::Changes, &home);
+        stand.watcher.now.set(110.0);
+        stand.balancer.woken(110.0);
+        let moved = stand.watcher.moved.borrow().len();
+        moved
+    };
+    assert!(moved(4) > 0 && moved(20) == 0, "{} and {}", moved(4), moved(20));
+}
