Comments say what the text does now: no phantom load, the near budget, 110 columns

Read again: one comment stood for a term that is gone, another ran over the width. No behaviour changes.

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -431,7 +431,7 @@
             if closed || (unknown && server.rounding < location.closed.get()) {
                 continue;
             }
-            // Crossing costs a mean part at the least, and no less than the part of the server itself: the largest abroad
+            // Crossing costs a mean part at the least, and no less than the server's own: the largest abroad
             // else seemed free to each of many balancers.
             let crossing = (1.0 - factor) * share.max(mean_share);
             // Legs not yet answered weigh more: set-up is work, and a server that answers none is slow.
@@ -446,7 +446,6 @@
                 });
                 left -= CROWDED * mean * (fresh * asked + (1.0 - fresh) * told);
             }
-            // A new server carries a phantom load at the others' mean, fading over its warm-up.
             // The costly terms, only for a server that may yet be the best.
             if best.as_ref().is_none_or(|(most, _)| left >= *most) {
                 if (age < self.thaw.warm_after || filling) && !self.within_budget(now, server, age) {
@@ -509,9 +508,9 @@
         }
     }
 
-    /// Rule 4: this balancer's part of what a cold server can take. A server here holds so many own
-    /// connections for its weight, by the same part of the price as in R_i, as only who is near sends there in the
-    /// usual case, and one that starts is filled over its warm-up; the budget fills at that pace times the present share, the multiple and a margin, or at one connection a window for all.
+    /// Rule 4: this balancer's part of what a cold server can take. It holds so many near connections for a server's
+    /// weight, by the part of the price as in R_i, and one that starts is filled over its warm-up; the budget fills
+    /// at that pace times the present share, the multiple and a margin, or at one connection a window for all.
     fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
         let near = self.place.factor(server.zone, 1.0).max(0.0);
         let part = near * self.held_by_weight.get() * self.size(server) * self.thaw.present(age);
