--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -511,13 +511,13 @@
     }
 
     /// Rule 4: this balancer's part of what a cold server can take. It holds so many near connections for a server's
-    /// weight, by the part of the price as in R_i, or its part of what shops have agreed on is as many, and one that
-    /// starts is filled over its warm-up; the budget fills at that pace times the present share, the multiple and a
-    /// margin (which what is agreed on needs not), or at one connection a window for all.
+    /// weight, by the part of the price as in R_i, or its part of what shops have agreed on is as many: one whose
+    /// servers were lost, or that was killed, holds none. One that starts is filled over its warm-up; the budget fills
+    /// at that pace times the present share, the multiple and a margin, or at one connection a window for all.
     fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
         let near = self.place.factor(server.zone, 1.0).max(0.0);
         let agreed = self.shares.standing / self.siblings / self.most_near.get().max(f64::MIN_POSITIVE);
-        let held = self.held_by_weight.get().max(agreed / MARGIN);
+        let held = self.held_by_weight.get().max(agreed);
         let part = near * held * self.size(server) * self.thaw.present(age);
         let least = 1.0 / (self.siblings * self.thaw.window);
         // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
--- a/crates/dewhead/tests/common/mod.rs
+++ b/crates/dewhead/tests/common/mod.rs
@@ -138,6 +138,19 @@
 
     /// Whether the list's weights move with load, and whether probes bring reports.
     pub fn under(
+        seed: u64,
+        legs: Legs,
+        price: f64,
+        ask: bool,
+        traffic: Vec<TrafficType>,
+        told: (bool, bool),
+    ) -> Stand {
+        Stand::of(vec![40.0; 2], seed, legs, price, ask, traffic, told)
+    }
+
+    /// The same, where so many shops may have so many connections standing each; none where nothing was agreed on.
+    pub fn of(
+        agreed: Vec<f64>,
         seed: u64,
         legs: Legs,
         price: f64,
@@ -149,7 +162,7 @@
         watcher.most.set(legs.most);
         watcher.two_at_once.set(legs.two_at_once);
         watcher.now.set(100.0);
-        let shops = (0..2).map(|_| Shop { share: 0.5, standing: 40.0 }).collect();
+        let shops = agreed.into_iter().map(|standing| Shop { share: 0.5, standing }).collect();
         let thaw = Thaw { cold_share: 0.25, warm_after: 8.0, multiple: 3.0, window: 2.0 };
         let balancer = Balancer::new(
             u128::from(seed),
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -637,7 +637,9 @@
 #[test]
 fn siblings_first_connections_to_a_cold_server_lie_evenly_in_time() {
     let sends_by = |after: f64, seed: u64| {
-        let mut stand = holding(seed, &fleet(4, 1.0), 0, false);
+        let kinds = vec![traffic(Effect::Repeatable)];
+        let mut stand = Stand::of(vec![0.0; 2], seed, legs_of(3), 0.0, false, kinds, (false, false));
+        stand.list(News::Remembered, &fleet(4, 1.0));
         for at in 0..8 {
             stand.watcher.now.set(100.0 + f64::from(at) * 4.0);
             stand.standing(1.0);
@@ -745,7 +747,8 @@
 #[test]
 fn the_cold_budget_is_reckoned_where_calls_are_sent() {
     let first_after = |servers: u32, seed: u64| {
-        let mut stand = Stand::new(seed, legs_of(3), 0.12, false, vec![traffic(Effect::Repeatable)]);
+        let kinds = vec![traffic(Effect::Repeatable)];
+        let mut stand = Stand::of(vec![0.0; 2], seed, legs_of(3), 0.12, false, kinds, (false, false));
         let mut listed = fleet(6, 1.0);
         listed.extend((0..servers).map(|at| server(20 + at, 1 + at as usize % 2, 1.0)));
         stand.list(News::Whole, &listed);
