A discovery that turns calls away is asked again after longer pauses, and waited for

Only the 11 proxies whose first watch lived on ever learned of the seven servers that the release started: these hold 0.00 to 0.01 of their weight until the end, three old ones 0.4 to 0.7; 90 proxies dial servers that are gone, 2132 refused legs of 6924. Read: discovery takes a call from every instance in some seconds, ends a call after a time-out of 2 s, and overbooked takes more calls than it can answer within that; work for a call that has ended is done all the same. A hundred proxies that ask more than it answers keep its queue longer than the time-out, so that it answers nobody. At fault: reducer/watch.rs gave each opening one second (WATCH_OPENS), so that what is answered in the second was lost, and asked again within a pause of 0.1 to 3.7 s whatever the fault. A 503 now counts as more asked than can be done: a pause of a second, doubled up to eight, spread by half; other faults keep theirs. An opening is waited for 2.2 s; silence is still found and asked about twice within the six seconds that it counts as told. Ruled out: plain list calls in place of watches (503 too), a longer wait alone (761 503s, none answered).

--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -4,7 +4,7 @@
 use crate::memory::known::Entries;
 use crate::memory::sessions::{LegStage, Out};
 use crate::memory::timers::Timer;
-use crate::wire::http::Answer;
+use crate::wire::http::{Answer, TURNED_AWAY};
 use crate::wire::listing::listing;
 use dewhead::terms::{Ending, News, State};
 use log::{debug, warn};
@@ -14,10 +14,14 @@
 /// Discovery writes every two seconds at least; this long without a word and the watch is dead. What it has to tell
 /// counts as told after six, so that two tries must fit in there.
 const WATCH_SILENT: f64 = 2.6;
-/// The agent is on this machine and answers at once, or is not there.
-const WATCH_OPENS: f64 = 1.0;
+/// The agent answers at once, or is not there; a discovery that is asked too much answers within two seconds. Given up
+/// before that, what it had begun was done for nothing.
+const WATCH_OPENS: f64 = 2.2;
 /// Pauses before discovery is asked again, where the balancer does not set them: the first and the longest.
 const WATCH_PAUSE: (f64, f64) = (0.1, 0.8);
+/// The same where discovery turns calls away: it has more to do than it can, and a hundred proxies that asked again
+/// each second kept it so that it answered nobody for the rest of the day.
+const AWAY_PAUSE: (f64, f64) = (1.0, 8.0);
 
 pub struct Watch {
     pub discovery: SocketAddr,
@@ -26,6 +30,8 @@
     pub version: u64,
     pub entries: Entries,
     pub failures: u32,
+    /// How often in a row it has turned a call away.
+    pub turned_away: u32,
     /// Whether the timer ends a pause; else it ends a silence.
     pub pausing: bool,
     pub timer: Option<Timer>,
@@ -39,6 +45,7 @@
             version: 0,
             entries: Entries::default(),
             failures: 0,
+            turned_away: 0,
             pausing: false,
             timer: None,
         }
@@ -127,7 +134,7 @@
             }
         }
         self.watch.version = version;
-        self.watch.failures = 0;
+        (self.watch.failures, self.watch.turned_away) = (0, 0);
         self.watch.entries.follow(whole || remembered, told);
         for (listed, _) in &entries {
             let ago = listed.started.map_or(f64::INFINITY, |started| now - started);
@@ -158,22 +165,26 @@
         if self.watch.failures == 0 {
             warn!("discovery: the watch is given up: {fault}");
         }
+        let away = fault == TURNED_AWAY;
+        self.watch.turned_away = if away { self.watch.turned_away.saturating_add(1) } else { 0 };
         self.effects.push(Effect::Unfollow);
         self.watch_lost(now);
     }
 
     pub(super) fn watch_lost(&mut self, now: f64) {
         self.watch.answer = None;
-        let pause = WATCH_PAUSE.0 * f64::from(1u32 << self.watch.failures.min(4));
+        let (away, failures) = (self.watch.turned_away, self.watch.failures);
+        let (first, longest) = if away > 0 { AWAY_PAUSE } else { WATCH_PAUSE };
+        let pause = first * f64::from(1u32 << if away > 0 { (away - 1).min(4) } else { failures.min(4) });
         self.watch.failures = self.watch.failures.saturating_add(1);
         if let Some(old) = self.watch.timer.take() {
             self.timers.cancel(old);
         }
-        if self.must_ask {
+        if self.must_ask && away == 0 {
             // The balancer asks again when it thinks fit.
             return self.balancer.list(now, News::Failed, &[]);
         }
-        let at = now + pause.min(WATCH_PAUSE.1) * (0.5 + self.chance.rand_float());
+        let at = now + pause.min(longest) * (0.5 + self.chance.rand_float());
         self.watch.pausing = true;
         self.watch.timer = Some(self.timers.set(at, Due::Watch));
     }
--- a/crates/dewhead-proxy/src/wire/http.rs
+++ b/crates/dewhead-proxy/src/wire/http.rs
@@ -12,6 +12,9 @@
     .into_bytes()
 }
 
+/// The fault of an answer that serves nothing.
+pub const TURNED_AWAY: &str = "it did not answer 200";
+
 enum Body {
     Head,
     /// Before a chunk's size; then so many bytes of it are left.
@@ -116,7 +119,7 @@
     match answer.parse(bytes) {
         Ok(httparse::Status::Complete(length)) => {
             if answer.code != Some(200) {
-                return Err("it did not answer 200");
+                return Err(TURNED_AWAY);
             }
             let chunked = answer.headers.iter().any(|h| {
                 h.name.eq_ignore_ascii_case("transfer-encoding")
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -394,6 +394,72 @@
     assert!(stand.follows.len() > before + 1, "and again, as nobody answers");
 }
 
+/// Proxies of a fleet that restarted in one moment, and a discovery that answers 20 calls a second, ends each after two
+/// seconds and takes four times as many as it can answer in that time. How many have a list after so many seconds.
+fn let_in(mode: &str, proxies: u64, seconds: f64) -> usize {
+    let told = list(2, true, vec![host(0, "ready"), host(1, "ready")]);
+    let mut settings = common::settings();
+    settings["membershipMode"] = mode.into();
+    let known = list(1, true, vec![host(0, "ready")]);
+    let mut fleet: Vec<Stand> =
+        (0..proxies).map(|seed| Stand::of(u128::from(seed), &settings, 256, known.clone())).collect();
+    let mut asked = vec![0; fleet.len()];
+    // Whose call, its number, when it came, and whether it was ended.
+    let mut queue: std::collections::VecDeque<(usize, usize, f64, bool)> = Default::default();
+    let turn_away = |stand: &mut Stand| {
+        stand.tell(Event::WatchOpen);
+        stand.tell(Event::Watch(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"));
+    };
+    let mut held = std::collections::BTreeSet::new();
+    for step in 0..(seconds * 20.0) as u32 {
+        let now = f64::from(step) * 0.05;
+        for (at, stand) in fleet.iter_mut().enumerate() {
+            if stand.follows.len() > asked[at] {
+                asked[at] = stand.follows.len();
+                stand.watching = true;
+                if queue.len() < 160 {
+                    queue.push_back((at, asked[at], now, false));
+                } else {
+                    turn_away(stand);
+                }
+            }
+        }
+        for (at, number, since, ended) in
+            queue.iter_mut().filter(|(_, _, since, ended)| !ended && now - since > 2.0)
+        {
+            *ended = true;
+            if fleet[*at].watching && asked[*at] == *number && now > *since {
+                turn_away(&mut fleet[*at]);
+            }
+        }
+        // Work for a call that nobody waits for any longer is done all the same.
+        if let Some((at, number, _, ended)) = queue.pop_front() {
+            if !ended && fleet[at].watching && asked[at] == number {
+                fleet[at].watch(&told.to_string());
+                held.insert(at);
+            }
+        }
+        for (at, stand) in fleet.iter_mut().enumerate() {
+            // What keeps a watch alive.
+            if held.contains(&at) && step % 20 == 0 {
+                stand.tell(Event::Watch(b"\n"));
+            }
+            stand.later(0.05);
+        }
+    }
+    held.len()
+}
+
+/// A hundred proxies asked again within a second or two, gave each call up after one, and kept a discovery that takes
+/// more calls than it can answer busy with those: 11 of 100 learned of the servers that a release had started.
+#[test]
+fn a_fleet_that_restarts_in_one_moment_is_let_in_by_a_discovery_that_is_overbooked() {
+    for mode in ["automatic", "subscribe"] {
+        let held = let_in(mode, 100, 15.0);
+        assert!(held >= 90, "{mode}: {held} of 100 hold a list after 15 s");
+    }
+}
+
 /// A reload ended the process, and its successor would have gone on asking the old address for versions that the new
 /// discovery does not count.
 #[test]
