Only the last call tells whether discovery turns calls away

Read again: watch_lost is also where a connection ends or is never made, and kept the count of 503s from before; a discovery that had turned one call away and then was gone was asked after 1 to 8 s, past the balancer, as if it still did. watch_lost now clears the count, watch_fault sets it. The test fails without that (asked 0.4 s later: no).

--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -168,10 +168,16 @@
         let away = fault == TURNED_AWAY;
         self.watch.turned_away = if away { self.watch.turned_away.saturating_add(1) } else { 0 };
         self.effects.push(Effect::Unfollow);
-        self.watch_lost(now);
+        self.ask_later(now);
     }
 
+    /// A connection that ended, or was never made, says nothing of how much discovery has to do.
     pub(super) fn watch_lost(&mut self, now: f64) {
+        self.watch.turned_away = 0;
+        self.ask_later(now);
+    }
+
+    fn ask_later(&mut self, now: f64) {
         self.watch.answer = None;
         let (away, failures) = (self.watch.turned_away, self.watch.failures);
         let (first, longest) = if away > 0 { AWAY_PAUSE } else { WATCH_PAUSE };
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -460,6 +460,23 @@
     }
 }
 
+/// A discovery that had turned one call away and then was gone was asked as seldom as one that still did.
+#[test]
+fn only_the_last_call_tells_whether_discovery_turns_calls_away() {
+    let mut stand = Stand::ready(1);
+    let before = stand.follows.len();
+    stand.watching = true;
+    stand.tell(Event::WatchOpen);
+    stand.tell(Event::Watch(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"));
+    (0..4).for_each(|_| stand.later(0.1));
+    assert_eq!(stand.follows.len(), before, "it is left alone for half a second at the least");
+    (0..12).for_each(|_| stand.later(0.1));
+    assert_eq!(stand.follows.len(), before + 1);
+    stand.tell(Event::WatchLost);
+    (0..4).for_each(|_| stand.later(0.1));
+    assert_eq!(stand.follows.len(), before + 2, "gone, it is asked again soon");
+}
+
 /// A reload ended the process, and its successor would have gone on asking the old address for versions that the new
 /// discovery does not count.
 #[test]
