--- a/crates/dewhead-proxy/src/lifecycle/configuration.rs
+++ b/crates/dewhead-proxy/src/lifecycle/configuration.rs
@@ -24,6 +24,8 @@
     /// The list of servers as it was last had.
     pub remembered: Value,
     pub startup: Startup,
+    /// What of the settings is obeyed otherwise than its words say, a line each.
+    pub remarks: Vec<String>,
     /// Where operators ask and tell; nowhere if not told.
     pub control: Option<PathBuf>,
     pub fixed: Fixed,
@@ -66,8 +68,8 @@
     }
 
     pub fn read(told: &Value) -> Outcome<Configuration> {
-        let settings = |of| shape::check(of).and_then(|()| Startup::read(of));
-        let startup = field(told, "settings").and_then(settings).map_err(|e| {
+        let settings = |of| shape::check(of).and_then(|remarks| Ok((Startup::read(of)?, remarks)));
+        let (startup, remarks) = field(told, "settings").and_then(settings).map_err(|e| {
             if told["settings"].is_null() {
                 e
             } else {
@@ -103,6 +105,7 @@
             descriptors: descriptors as usize,
             remembered,
             startup,
+            remarks,
             control: maybe(told, "control", text)?.map(PathBuf::from),
             fixed: Fixed::of(told),
         })
--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -49,11 +49,19 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
-    let Configuration { name, listen, discovery, seed, descriptors, remembered, startup, control, fixed } =
-        read;
-    if startup.probes {
-        warn!("settings: servers on sockets tell no load when probed; calls go by the list's weights alone");
-    }
+    let Configuration {
+        name,
+        listen,
+        discovery,
+        seed,
+        descriptors,
+        remembered,
+        startup,
+        remarks,
+        control,
+        fixed,
+    } = read;
+    remarks.iter().for_each(|remark| warn!("settings: {remark}"));
     let clock = Clock::start();
     // From here on the other process serves until it is told that its place is taken; a fault before leaves it serving.
     let before = take_over.as_deref().map(Predecessor::ask).transpose()?;
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -82,7 +82,8 @@
         let probes = asked_field.is_some() && maybe(limits, "probes", truth)?.unwrap_or(false);
         let thaw = Thaw {
             cold_share: number(rules, "coldShare")?,
-            warm_after: seconds(rules, "cold")?,
+            // Warm at once is a warm-up of no time; times are divided by it.
+            warm_after: seconds(rules, "cold")?.max(1e-3),
             multiple: number(rules, "fallMultiple")?,
             window: seconds(rules, "tipAfter")?,
         };
--- a/crates/dewhead-startup/src/shape.rs
+++ b/crates/dewhead-startup/src/shape.rs
@@ -1,60 +1,78 @@
-//! Whether the settings describe one shape of deployment. The old one: the list gives sizes, by whichever way it comes,
-//! and servers report nothing. The new ones: weights that move with load, and reports on probes; or all in one location.
-//! The simulator says what its days are, and is taken at its word; a configuration that a person writes is checked.
+//! Whether the settings can be meant. What no deployment can mean is refused by its key; what is legal but unusual is
+//! obeyed, and where that leaves something out, a remark says so. The simulator says what its days are, and is taken at
+//! its word; a configuration that a person writes is checked.
 
 use crate::fields::{array, field, maybe, names, number, text, truth, Outcome};
 use serde_json::Value;
 
-/// An error names the key that does not go with the others.
-pub fn check(told: &Value) -> Outcome<()> {
+/// An error names the key that can't be meant. What is obeyed otherwise than its words say comes back, a line each.
+pub fn check(told: &Value) -> Outcome<Vec<String>> {
+    let mut remarks = Vec::new();
     let live = maybe(told, "weights", text)? == Some("live");
-    let feedback = field(told, "feedback")?;
-    let how = text(feedback, "how")?;
-    let probes = maybe(field(told, "limits")?, "probes", truth)?.unwrap_or(false);
     if live && text(told, "membershipMode")? == "subscribe" {
-        return Err("field 'weights' is live, and a list that must be asked for is too old for that; \
-                    'membershipMode' is to be automatic"
-            .into());
+        remarks.push(
+            "field 'weights' is live beside 'membershipMode' subscribe: what they say of load is old".into(),
+        );
     }
-    match how {
+    let feedback = field(told, "feedback")?;
+    match text(feedback, "how")? {
         "off" => {}
-        "on_probe" if !probes => {
-            return Err("field 'limits.probes' is false, but 'feedback.how' has reports come on probes".into())
+        // A proxy that did not start served nobody, and weights alone serve nearly as well.
+        how @ ("on_probe" | "inline") => {
+            names(feedback, "fields")?;
+            maybe(field(told, "limits")?, "probes", truth)?;
+            remarks.push(format!(
+                "field 'feedback.how' is {how}, and servers on sockets tell no load; calls go by the list's weights alone"
+            ));
         }
-        "on_probe" if !names(feedback, "fields")?.iter().any(|f| f == "x0") => {
-            return Err("field 'feedback.fields' lacks x0, the one figure of a report that is read".into())
-        }
-        "on_probe" => {}
-        "inline" => return Err("field 'feedback.how': reports that come with answers are not read".into()),
         other => return Err(format!("field 'feedback.how' names unknown '{other}'")),
     }
-    if array(told, "azs")?.len() == 1 && number(field(told, "deductions")?, "crossZone")? > 0.0 {
-        return Err("field 'deductions.crossZone' prices a crossing, but 'azs' names one location".into());
+    figures(told)?;
+    distinct("azs", names(told, "azs")?)?;
+    for key in ["trafficTypes", "tenants"] {
+        let listed = maybe(told, key, array)?.map_or(&[][..], Vec::as_slice);
+        let named = listed.iter().map(|one| text(one, "name").map(str::to_owned));
+        distinct(key, named.collect::<Outcome<_>>().map_err(|e| format!("field '{key}': {e}"))?)?;
+    }
+    Ok(remarks)
+}
+
+/// Calls and servers are told by these names.
+fn distinct(key: &str, mut names: Vec<String>) -> Outcome<()> {
+    names.sort_unstable();
+    match names.windows(2).find(|two| two[0] == two[1]) {
+        Some(two) => Err(format!("field '{key}' names '{}' twice", two[0])),
+        None => Ok(()),
     }
-    figures(told)
 }
 
 /// Figures that no deployment can mean.
 fn figures(told: &Value) -> Outcome<()> {
-    let above_zero = |part: &str, names: &[&str]| -> Outcome<()> {
+    let least = |part: &str, names: &[&str], above: bool| -> Outcome<()> {
         for name in names {
-            if number(field(told, part)?, name)? <= 0.0 {
+            let figure = number(field(told, part)?, name)?;
+            if above && figure <= 0.0 {
                 return Err(format!("field '{part}.{name}' is not above 0"));
             }
+            if figure < 0.0 {
+                return Err(format!("field '{part}.{name}' is negative"));
+            }
         }
         Ok(())
     };
-    above_zero("obligations", &["coldShare", "cold", "fallMultiple", "tipAfter"])?;
-    above_zero("limits", &["mostLegs"])?;
+    least("obligations", &["fallMultiple", "tipAfter"], true)?;
+    least("limits", &["mostLegs"], true)?;
+    // A server that is warm from its first moment, or bears nothing in it, is unusual.
+    least("obligations", &["coldShare", "cold"], false)?;
+    least("deductions", &["crossZone", "moves"], false)?;
     if number(field(told, "obligations")?, "coldShare")? > 1.0 {
         return Err("field 'obligations.coldShare' is over 1".into());
     }
-    for name in ["crossZone", "moves"] {
-        if number(field(told, "deductions")?, name)? < 0.0 {
-            return Err(format!("field 'deductions.{name}' is negative"));
-        }
+    let listed = array(told, "trafficTypes")?;
+    if listed.is_empty() {
+        return Err("field 'trafficTypes' names none".into());
     }
-    for one in array(told, "trafficTypes")? {
+    for one in listed {
         for name in ["setupTarget", "guardTime"] {
             if number(one, name)? <= 0.0 {
                 return Err(format!("field 'trafficTypes.{name}' is not above 0"));
