--- a/crates/dewhead-proxy/src/memory/sessions.rs
+++ b/crates/dewhead-proxy/src/memory/sessions.rs
@@ -6,6 +6,7 @@
 use dewhead::state::Call;
 use dewhead::terms::{Ending, Wanted};
 use std::fmt;
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 
@@ -99,9 +100,13 @@
     /// Its number in the call.
     pub number: usize,
     pub server: u32,
+    /// Where it was dialled.
+    pub to: SocketAddr,
     pub stage: LegStage,
     /// The server's answer, until its line is whole; given back once the call stands.
     pub answer: Vec<u8>,
+    /// Its connection is up by then, and the server has answered by then.
+    pub up_by: f64,
     pub until: f64,
     /// When its head's last byte was written.
     pub asked_at: f64,
--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -3,7 +3,7 @@
 use super::{Due, Effect, End, How, Reducer, SETUPS, TO_REFUSE};
 use crate::memory::sessions::{LegStage, Out, Stage};
 use crate::wire::answers::{self, word, Word};
-use crate::wire::lines::first;
+use crate::wire::lines::{first, trimmed};
 use dewhead::terms::Ending;
 use log::debug;
 
@@ -31,13 +31,16 @@
         };
         let entry = self.legs.vacant_entry();
         let leg = entry.key();
-        let timer = self.timers.set((now + self.connect_limit).min(until), Due::Leg(leg));
+        let up_by = (now + self.connect_limit).min(until);
+        let timer = self.timers.set(up_by, Due::Leg(leg));
         entry.insert(Out {
             session: key,
             number,
             server,
+            to,
             stage: LegStage::Connecting,
             answer: Vec::new(),
+            up_by,
             until,
             asked_at: now,
             timer: Some(timer),
@@ -62,7 +65,15 @@
 
     pub(super) fn connected(&mut self, now: f64, leg: usize) {
         let Some(out) = self.legs.get(leg).filter(|l| l.stage == LegStage::Connecting) else { return };
-        let wait = self.sessions[out.session].wait.clone();
+        let session = &self.sessions[out.session];
+        // Dialled before a drain was told, or before its server was gone, started anew or moved, and up after it: such
+        // legs were asked all the same, after the grace where connections take longer than that to come up.
+        let there = self.servers.0.get(&out.server).is_some_and(|s| s.dial == Some(out.to));
+        let may_go = session.call.as_ref().is_none_or(|call| call.may_go(now, out.number));
+        if !there || !may_go || now >= out.until {
+            return self.leg_failed(now, leg, Ending::NotSent);
+        }
+        let wait = session.wait.clone();
         let figure = ((out.until - now) * 1000.0).max(1.0) as u64;
         self.effects.push(Effect::Head { leg, session: out.session, wait, figure });
     }
@@ -71,14 +82,20 @@
         let Some(out) = self.legs.get_mut(leg) else { return };
         let key = out.session;
         match out.stage {
-            LegStage::Connecting | LegStage::Asked => {
+            // Whatever it answers, it has not had the line: only of a full server that is a word.
+            LegStage::Connecting => {
+                out.answer.extend_from_slice(bytes);
+                let full = matches!(first(&out.answer), Ok(Some(end)) if word(trimmed(&out.answer[..end])) == Word::Busy);
+                self.leg_failed(now, leg, if full { Ending::Full } else { Ending::Unreachable });
+            }
+            LegStage::Asked => {
                 out.answer.extend_from_slice(bytes);
                 let end = match first(&out.answer) {
                     Ok(Some(end)) => end,
                     Ok(None) => return,
                     Err(_) => return self.leg_failed(now, leg, Ending::Error),
                 };
-                match word(crate::wire::lines::trimmed(&out.answer[..end])) {
+                match word(trimmed(&out.answer[..end])) {
                     Word::Up => self.up(now, leg),
                     Word::Busy => self.leg_failed(now, leg, Ending::Full),
                     Word::Move => self.leg_failed(now, leg, Ending::Cancelled),
--- a/crates/dewhead-proxy/tests/common/mod.rs
+++ b/crates/dewhead-proxy/tests/common/mod.rs
@@ -68,6 +68,8 @@
     pub past: Vec<Client>,
     /// Legs dialled so far, by port.
     pub dialled: Vec<usize>,
+    /// Heads that went out: the client's slot, the leg, the port.
+    pub heads: Vec<(usize, usize, usize)>,
     pub accepting: bool,
     pub exit: bool,
     /// Where discovery was asked so far, and for the changes since which version.
@@ -84,15 +86,25 @@
         Stand::of(7, &settings(), descriptors, known)
     }
 
+    /// At 1000 s on its clock, when clients are heard, whether or not discovery has said anything by then.
     pub fn of(seed: u128, settings: &Value, descriptors: usize, known: Value) -> Stand {
+        let mut stand = Stand::unheard(seed, settings, descriptors, known);
+        stand.later(1000.0 - stand.now);
+        stand
+    }
+
+    /// In its first moment.
+    pub fn unheard(seed: u128, settings: &Value, descriptors: usize, known: Value) -> Stand {
         let startup = Startup::read(settings).expect("the settings are sound");
+        let began = 999.5;
         let mut stand = Stand {
-            reducer: Reducer::new(1000.0, startup, seed, discovery(1), descriptors, &known),
-            now: 1000.0,
+            reducer: Reducer::new(began, startup, seed, discovery(1), descriptors, &known),
+            now: began,
             clients: BTreeMap::new(),
             servers: BTreeMap::new(),
             past: Vec::new(),
             dialled: Vec::new(),
+            heads: Vec::new(),
             accepting: true,
             exit: false,
             follows: Vec::new(),
@@ -157,6 +169,8 @@
                     let text =
                         [&head[..wait.start], figure.to_string().as_bytes(), &head[wait.end..]].concat();
                     self.say(End::Server(leg), &text);
+                    assert!(self.clients.contains_key(&session), "a head for a client that is gone");
+                    self.heads.push((session, leg, self.servers[&leg].to));
                     self.servers.get_mut(&leg).unwrap().figure = figure;
                 }
                 Effect::Pass(end, range) => self.say(end, &bytes[range]),
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -115,11 +115,7 @@
 impl Thaw {
     /// 1 when warm, the cold share at the start, evenly between.
     fn present(&self, age: f64) -> f64 {
-        if age >= self.warm_after {
-            1.0
-        } else {
-            self.cold_share + (1.0 - self.cold_share) * (age / self.warm_after).max(0.0)
-        }
+        self.cold_share + (1.0 - self.cold_share) * (age / self.warm_after).clamp(0.0, 1.0)
     }
 }
 
@@ -333,11 +329,11 @@
     }
 
     fn handle(&self, now: f64, id: u64, wanted: Wanted) -> Rc<Call> {
-        let mean = self.mean_load();
-        let rate = wanted.hint.unwrap_or(mean);
+        let rate = wanted.hint.unwrap_or_else(|| self.mean_load());
         Rc::new(Call {
             balancer: self.me.upgrade().expect("a balancer that is called is alive"),
             id,
+            until: Cell::new(wanted.until),
             wanted,
             taken_at: now,
             stage: Cell::new(Stage::Waiting),
@@ -421,8 +417,7 @@
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so. A server that nothing is known of is as likely to be
             // overdriven as those of its location that are known: at full size each balancer else fills
-            // servers that the others have closed. Not so one that has just started, as nobody has filled it
-            // (ic788f7).
+            // servers that the others have closed. Not so one just started, which nobody has filled (ic788f7).
             let location = &self.locations[(server.zone as usize).min(self.locations.len() - 1)];
             let full = now < server.full_until.get();
             let closed = load + (1.0 - server.rounding) * rate > room * limit || full;
@@ -611,6 +606,14 @@
         }
     }
 
+    /// Whether a leg whose connection is up may be asked still: what was learned meanwhile counts, as its send does.
+    pub fn may_go(&self, now: f64, leg: usize) -> bool {
+        self.legs.borrow().get(leg).is_some_and(|l| {
+            let here = l.server.state.get() == State::Ready && l.server.started.get() == l.started;
+            here && now < self.until.get() && self.allows(now, &l.server)
+        })
+    }
+
     /// Rule 2, the answer: a reject says that trying again is harmless.
     fn may_reject(&self) -> bool {
         let effect = self.balancer.traffic[self.wanted.traffic].effect;
@@ -625,7 +628,7 @@
     fn next_leg(self: &Rc<Self>, now: f64) -> bool {
         let balancer = &self.balancer;
         let sent = self.legs.borrow().len() as u32;
-        let guard = self.wanted.until - now;
+        let guard = self.until.get() - now;
         // In a shared fault another leg only adds to what makes them fail.
         if sent >= balancer.legs.most || guard <= 0.0 || (sent > 0 && balancer.shared_fault(now)) {
             return false;
@@ -660,7 +663,7 @@
         let balancer = &self.balancer;
         let known = server.report.get().is_some_and(|(_, at)| now - at < KNOWN * balancer.longest_guard);
         let wait = HEARD * balancer.traffic[self.wanted.traffic].setup_target;
-        let time = self.wanted.until - now > 2.0 * wait;
+        let time = self.until.get() - now > 2.0 * wait;
         if !balancer.probes || known || !time || self.probe.get().is_some() {
             return false;
         }
@@ -705,7 +708,7 @@
         self.balancer.placed.set(place + 1);
         server.calls.borrow_mut().insert(place, Rc::downgrade(self));
         server.waiting.set(server.waiting.get() + 1);
-        self.legs.borrow_mut().push(Leg { place, server, sent_at: now, load, out: true, waiting: true });
+        self.legs.borrow_mut().push(Leg::out(now, place, server, load));
     }
 
     /// An ended leg leaves the sums at once.
@@ -788,10 +791,7 @@
 
     /// How long a message takes at this call's server now.
     pub fn messages_take(&self, now: f64, leg: usize, delay: f64) {
-        let server = match self.legs.borrow().get(leg) {
-            Some(leg) => leg.server.clone(),
-            None => return,
-        };
+        let Some(server) = self.legs.borrow().get(leg).map(|l| l.server.clone()) else { return };
         let balancer = &self.balancer;
         // What a message takes is work piled up: it grows by what is asked beyond what the server can do.
         // Told for the first time, it was under the telling a second ago.
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -162,17 +162,27 @@
 pub(crate) struct Leg {
     pub(crate) place: u64,
     pub(crate) server: Rc<Server>,
+    /// When the server had started, as it was then told.
+    pub(crate) started: f64,
     pub(crate) sent_at: f64,
     pub(crate) load: i64,
     pub(crate) out: bool,
     pub(crate) waiting: bool,
 }
 
+impl Leg {
+    pub(crate) fn out(now: f64, place: u64, server: Rc<Server>, load: i64) -> Leg {
+        Leg { place, started: server.started.get(), server, sent_at: now, load, out: true, waiting: true }
+    }
+}
+
 /// A call that was taken; everything that happens to it is told here.
 pub struct Call {
     pub(crate) balancer: Rc<Balancer>,
     pub(crate) id: u64,
     pub(crate) wanted: Wanted,
+    /// When its final answer is due: the client's time, or sooner where the process ends.
+    pub(crate) until: Cell<f64>,
     pub(crate) taken_at: f64,
     pub(crate) stage: Cell<Stage>,
     pub(crate) legs: RefCell<Vec<Leg>>,
@@ -189,6 +199,13 @@
     pub(crate) read_at: Cell<f64>,
 }
 
+impl Call {
+    /// The process can wait no longer than this, in seconds on the clock of the calls, whatever the client would.
+    pub fn hurry(&self, until: f64) {
+        self.until.set(self.until.get().min(until));
+    }
+}
+
 pub struct Balancer {
     pub(crate) me: Weak<Balancer>,
     pub(crate) door: Rc<dyn Outward>,
