A planned stop owes nothing to anybody by the time the process is killed

Shown by tests/owed.rs on the old text: '3.7: "" for one that waited'. stopping.rs set the end at the longest guard time and 0.6 s, while SIGKILL may come after the longest guard time, 3 s at most, and 0.7 s: at guard times of 3.2 and 4.8 s (prairie-booking) the process meant to end 1.7 s after its death, waiting calls had no answer, late ones stood without MOVE. Now calls that wait when it stops, or come later, are answered by 0.4 s after that time (Call::hurry; their legs' timers too, also of connections that are put back), all who stand are told to move 0.05 s later, and the process ends 0.15 s after that. Spread over half of the same bounded time; with guard times of 0.15 to 0.25 s all is over by 0.85 s. Before it ends, who waits in the listener's queue is accepted and answered (turn.rs; Due::Empty and the end came in one turn before the accept).

--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -93,6 +93,7 @@
     /// Ask discovery, which is at this address, for the changes since this version.
     Follow(SocketAddr, u64),
     Unfollow,
+    /// Nothing is owed to anybody known; who waits in the listener's queue still is.
     Exit,
 }
 
@@ -107,8 +108,9 @@
     Watch,
     /// Descriptors ran out a moment ago.
     Room,
-    /// At a stop: once clients no longer come, and when time is up.
+    /// At a stop: once clients no longer come, when all who stand are told, and when time is up.
     Empty,
+    LastWord,
     Exit,
 }
 
@@ -167,6 +169,9 @@
     stopping: Option<f64>,
     spread: f64,
     ends: bool,
+    /// At a stop: by when whoever waits has its answer.
+    answered_by: Option<f64>,
+    time_is_up: bool,
     descriptors: Descriptors,
     chance: Rand64,
     effects: Vec<Effect>,
@@ -209,8 +214,10 @@
             serial: 0,
             watch: Watch::of(discovery),
             stopping: None,
-            spread: 0.5 * longest_guard,
+            spread: 0.0,
             ends: false,
+            answered_by: None,
+            time_is_up: false,
             descriptors: Descriptors { used: FIXED, most: most_descriptors, accepting: true },
             chance: Rand64::new(seed ^ 1),
             effects: Vec::new(),
@@ -300,8 +307,7 @@
             }
         }
         self.settle(now);
-        let all_came = self.stopping.is_some_and(|at| now >= at + STILL_COMING);
-        if self.ends && all_came && self.sessions.is_empty() {
+        if self.is_over(now) {
             self.effects.push(Effect::Exit);
         }
     }
@@ -413,7 +419,8 @@
                 self.look_for_room(now);
             }
             Due::Empty => {}
-            Due::Exit => self.effects.push(Effect::Exit),
+            Due::LastWord => self.say_last_word(now),
+            Due::Exit => self.time_is_up = true,
         }
     }
 }
--- a/crates/dewhead-proxy/src/reducer/clients.rs
+++ b/crates/dewhead-proxy/src/reducer/clients.rs
@@ -175,12 +175,15 @@
                         let until = until.min(now + if named { PUT_BACK } else { FIRST_LINE });
                         session.returning = Some((server, Wanted { until, ..wanted }));
                         self.replace_timer(key, None);
+                        self.hurry(now, key);
+                        let until = self.answered_by.map_or(until, |by| by.min(until));
                         self.dial(now, key, server, until);
                     }
                     None => {
                         session.stage = Stage::Waiting;
                         self.replace_timer(key, None);
-                        let call = self.balancer.take(now, id, wanted);
+                        let until = self.answered_by.map_or(wanted.until, |by| by.min(wanted.until));
+                        let call = self.balancer.take(now, id, Wanted { until, ..wanted });
                         self.sessions[key].call = Some(call);
                     }
                 }
--- a/crates/dewhead-proxy/src/reducer/succession.rs
+++ b/crates/dewhead-proxy/src/reducer/succession.rs
@@ -1,6 +1,6 @@
 //! What one process hands to the one that takes its place, and what that takes up.
 
-use super::{Due, Reducer};
+use super::Reducer;
 use crate::memory::known::{self, Handed};
 use crate::memory::pace::Pace;
 use log::info;
@@ -42,7 +42,6 @@
         self.ends = true;
         self.spread = spread.max(0.0);
         self.send_all_away(now);
-        self.timers.set(now + super::STILL_COMING, Due::Empty);
-        self.timers.set(now + self.spread + self.longest_guard + 0.6, Due::Exit);
+        self.end_after(now, self.spread + self.longest_guard);
     }
 }
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -220,7 +220,14 @@
                     self.tell(now, Event::Closed(end, How::Broken), &[]);
                 }
             }
+            if self.exit {
+                // Who came in time and was not accepted yet would be reset with the listener.
+                while self.accept(now) {}
+                self.exit = self.reducer.is_over(now);
+            }
         }
+        self.live(self.clock.now(), Told::Over);
+        info!("stopped");
         Ok(())
     }
 
@@ -385,20 +392,21 @@
         }
     }
 
-    fn accept(&mut self, now: f64) {
+    /// Accepts some; whether more may wait.
+    fn accept(&mut self, now: f64) -> bool {
         self.accept_from = None;
         for _ in 0..ACCEPTS {
             if !self.accepting {
                 break;
             }
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listener else { return false };
             match listener.accept() {
                 Ok((socket, _)) => {
                     self.accept_failed = false;
                     self.fresh = Some(socket);
                     self.tell(now, Event::Accepted, &[]);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
@@ -406,12 +414,13 @@
                         warn!("accepting: {e}");
                     }
                     self.accept_from = Some(now + ACCEPT_PAUSE);
-                    return;
+                    return false;
                 }
             }
         }
         // More may wait: for the next turn, or where no descriptors are left for when there are.
         self.accept_from = Some(now);
+        self.accepting
     }
 
     fn ready(&mut self, now: f64, end: End, readable: bool) {
@@ -597,12 +606,7 @@
                 Effect::Accepting(on) => self.accepting = on,
                 Effect::Follow(discovery, since) => self.follow(now, discovery, since),
                 Effect::Unfollow => self.watch = None,
-                Effect::Exit => {
-                    if !std::mem::replace(&mut self.exit, true) {
-                        self.live(now, Told::Over);
-                        info!("stopped");
-                    }
-                }
+                Effect::Exit => self.exit = true,
             }
         }
     }
--- a/crates/dewhead-proxy/tests/owed.rs
+++ b/crates/dewhead-proxy/tests/owed.rs
@@ -133,3 +133,67 @@
         }
     }
 }
+
+/// Guard times of 3.2 and 4.8 s, as one customer has them, and SIGKILL 3.7 s after SIGTERM: the process meant to end after
+/// 5.4 s, and whoever waited or stood then was cut off with it. Deadlines of a quarter of a second the other way.
+#[test]
+fn at_a_planned_stop_nobody_is_owed_anything_when_the_process_is_killed() {
+    for (guards, killed) in [([3200.0, 4800.0, 4000.0], 3.7), ([250.0, 200.0, 150.0], 0.95)] {
+        let mut told = settings();
+        for (at, guard) in guards.iter().enumerate() {
+            told["trafficTypes"][at]["guardTime"] = json!(guard);
+        }
+        let mut stand = Stand::of(7, &told, 256, list(1, true, (0..3).map(|n| host(n, "ready")).collect()));
+        let id = std::cell::Cell::new(1);
+        let line = |kind: &str, more: &str| {
+            id.set(id.get() + 1);
+            format!("OPEN {:016x} 7f3a9c21e0b4d655 c={kind},t=shop-a,d=9000{more}\r\n", id.get())
+        };
+        let mut owed = Vec::new();
+        let standing: Vec<(usize, usize)> = (0..20).map(|_| stand.standing()).collect();
+        // One is within a line, whose rest comes when others have left.
+        let (_, slow) = standing[3];
+        stand.server_says(slow, "M 1 ha");
+        for kind in KINDS {
+            // A server that hangs with the line, and one whose connection does not come up.
+            let asked = stand.open(&line(kind, ""));
+            let leg = stand.leg();
+            stand.connected(leg);
+            owed.extend([asked, stand.open(&line(kind, ""))]);
+        }
+        owed.push(stand.open(&line("feed", ",at=s-2")));
+        stand.tell(Event::Stop);
+        let stop = stand.now;
+        let (mut late, mut whole) = (None, false);
+        while stand.now < stop + killed - 0.06 {
+            stand.later(0.025);
+            if stand.now > stop + 0.3 && owed.len() < 8 {
+                owed.push(stand.open(&line("order", "")));
+                let client = stand.open(&line("feed", ""));
+                late = Some((client, stand.leg()));
+            }
+            if let Some((client, leg)) = late.filter(|_| stand.now > stop + killed - 0.3) {
+                if stand.servers.contains_key(&leg) {
+                    stand.connected(leg);
+                    stand.server_says(leg, "UP 8\r\n");
+                    let got = stand.got(client);
+                    assert!(got.is_empty() || got == "UP 8\r\n" || got.ends_with("MOVE\r\n"), "{got}");
+                }
+                late = None;
+            }
+            if stand.now > stop + 0.65 && !std::mem::replace(&mut whole, true) {
+                stand.server_says(slow, "lf\r\n");
+            }
+        }
+        for client in &owed {
+            let got = stand.got(*client);
+            assert!(got == "ERR\r\n" || got.starts_with("BUSY"), "{killed}: {got:?} for one that waited");
+        }
+        for (client, _) in &standing {
+            assert!(stand.got(*client).ends_with("MOVE\r\n"), "{killed}: one that stood is cut off");
+        }
+        assert!(stand.clients.values().all(|c| c.finished), "{killed}: nobody stands or waits any more");
+        stand.later(0.05);
+        assert!(stand.exit, "{killed}: over by then");
+    }
+}
