A dead watch is got over within six seconds, and clients are heard after discovery at a start

Shown by tests/owed.rs on the old text, all on the reducer: 'automatic, a head that never ends: opened 0 times since' - watched() put WATCH_SILENT off at any byte, so a line or head in pieces that never ended kept a dead watch for ever. Whole lines alone count now; a first line has 2.6 s from the asking, more with each try. 'automatic: asked at once: left 1 right 2' - a watch that had been open was left alone for up to 0.15 s when lost, longer than a grace of 0.1 s, and an asked-for list by the balancer's own pauses for up to 3.7 s, against the one clock for silence. Pauses are counted from the last asking now, in both ways of listing: what was open or silent for longer is asked for at once, what ends at once every 0.1 to 1.2 s as before; a discovery that turns calls away is left alone as before (its test, 100 proxies, passes on the old terms). 'left (1, PONG) right (0, "")' - a new process placed its first clients by the list from before its death, though what the agent has counts as told from its first moment. First lines are read once discovery has spoken, or after a sixteenth of the longest guard time. Ruled out: watch_ready reading on after a fault: follow is asked for by timers alone, never within the loop; it looks all the same. Worst case by these figures: silent 2.6 s, a dead opening 2.2 to 2.6 s, the third at 5.2 s at the latest of 6.

--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -106,6 +106,8 @@
     Session(usize),
     Leave(usize),
     Watch,
+    /// Discovery has had its time to say what it knows at the start.
+    Confirmed,
     /// Descriptors ran out a moment ago.
     Room,
     /// At a stop: once clients no longer come, when all who stand are told, and when time is up.
@@ -137,6 +139,9 @@
 const MOST_SILENT: f64 = 1.0;
 /// A line that a server has begun ends within this, or it does not end.
 const LINE_ENDS: f64 = 0.9;
+/// At the start discovery is heard before clients are, but for no longer than this part of the longest guard time: the
+/// agent answers at once, or is silent.
+const CONFIRMS: f64 = 1.0 / 16.0;
 /// A session's slot in the call's id; the rest is its serial number.
 const SLOT_BITS: u32 = 24;
 
@@ -145,7 +150,6 @@
     door: Rc<Door>,
     known: Known,
     groups: bool,
-    must_ask: bool,
     connect_limit: f64,
     longest_guard: f64,
     began: f64,
@@ -172,6 +176,8 @@
     /// At a stop: by when whoever waits has its answer.
     answered_by: Option<f64>,
     time_is_up: bool,
+    /// The list held is from before the start, and discovery may have told of drains since: no first line is read yet.
+    unconfirmed: bool,
     descriptors: Descriptors,
     chance: Rand64,
     effects: Vec<Effect>,
@@ -198,7 +204,6 @@
             door,
             known,
             groups,
-            must_ask,
             connect_limit,
             longest_guard,
             began: now,
@@ -218,6 +223,7 @@
             ends: false,
             answered_by: None,
             time_is_up: false,
+            unconfirmed: false,
             descriptors: Descriptors { used: FIXED, most: most_descriptors, accepting: true },
             chance: Rand64::new(seed ^ 1),
             effects: Vec::new(),
@@ -225,6 +231,8 @@
         reducer.balancer.begin(now);
         if !remembered.is_null() {
             reducer.list(now, remembered, true);
+            reducer.unconfirmed = reducer.holds_list();
+            reducer.timers.set(now + CONFIRMS * longest_guard, Due::Confirmed);
         }
         if !must_ask {
             reducer.follow(now);
@@ -247,10 +255,15 @@
     pub fn other(&self, end: End) -> Option<End> {
         match end {
             End::Client(key) => self.sessions.get(key)?.bound().map(End::Server),
-            End::Server(leg) => Some(End::Client(self.legs.get(leg)?.session)),
+            End::Server(leg) => self.client_of(leg),
         }
     }
 
+    /// The client that a leg is out for.
+    pub fn client_of(&self, leg: usize) -> Option<End> {
+        Some(End::Client(self.legs.get(leg)?.session))
+    }
+
     /// Sessions and legs open, and descriptors counted for them.
     pub fn open(&self) -> (usize, usize, usize) {
         (self.sessions.len(), self.legs.len(), self.descriptors.used - FIXED)
@@ -419,6 +432,7 @@
                 self.look_for_room(now);
             }
             Due::Empty => {}
+            Due::Confirmed => self.confirm(now),
             Due::LastWord => self.say_last_word(now),
             Due::Exit => self.time_is_up = true,
         }
--- a/crates/dewhead-proxy/src/reducer/clients.rs
+++ b/crates/dewhead-proxy/src/reducer/clients.rs
@@ -4,7 +4,7 @@
 use crate::memory::sessions::{LegStage, Session, Stage};
 use crate::wire::answers;
 use crate::wire::head::{opening, Opening};
-use crate::wire::lines::{first, Lines};
+use crate::wire::lines::{first, Lines, LONGEST};
 use crate::wire::listing::number_of;
 use dewhead::terms::{Ending, Wanted};
 use log::debug;
@@ -104,6 +104,10 @@
         match session.stage {
             Stage::Greeting => {
                 session.head.extend_from_slice(bytes);
+                // Never more than a line and a piece, also where it is not read yet.
+                if session.head.len() > 2 * LONGEST {
+                    return self.answer(now, key, answers::FAILED.to_vec());
+                }
                 self.greet(now, key);
             }
             Stage::Waiting | Stage::Returning => {
@@ -134,6 +138,9 @@
     }
 
     pub(super) fn greet(&mut self, now: f64, key: usize) {
+        if self.unconfirmed {
+            return;
+        }
         let session = &mut self.sessions[key];
         let end = match first(&session.head) {
             Ok(Some(end)) => end,
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -2,7 +2,7 @@
 
 use super::{Due, Effect, Reducer};
 use crate::memory::known::Entries;
-use crate::memory::sessions::{LegStage, Out};
+use crate::memory::sessions::{LegStage, Out, Session, Stage};
 use crate::memory::timers::Timer;
 use crate::wire::http::{Answer, TURNED_AWAY};
 use crate::wire::listing::listing;
@@ -17,7 +17,11 @@
 /// The agent answers at once, or is not there; a discovery that is asked too much answers within two seconds. Given up
 /// before that, what it had begun was done for nothing.
 const WATCH_OPENS: f64 = 2.2;
-/// Pauses before discovery is asked again, where the balancer does not set them: the first and the longest.
+/// A first line that does not end in `WATCH_SILENT` has as much time more with each try, up to so many times: a long list
+/// may come slowly.
+const PATIENCE: u32 = 4;
+/// How soon after it was last asked discovery is asked again, at first and at the longest. What has been open, or silent,
+/// for longer is asked for anew at once: a drain may be told in that pause, and counts.
 const WATCH_PAUSE: (f64, f64) = (0.1, 0.8);
 /// The same where discovery turns calls away: it has more to do than it can, and a hundred proxies that asked again
 /// each second kept it so that it answered nobody for the rest of the day.
@@ -26,6 +30,9 @@
 pub struct Watch {
     pub discovery: SocketAddr,
     pub answer: Option<Answer>,
+    /// When it was last asked for, and whether a whole line has come since.
+    asked_at: f64,
+    told: bool,
     /// The version held, and its entries as they came.
     pub version: u64,
     pub entries: Entries,
@@ -42,6 +49,8 @@
         Watch {
             discovery,
             answer: None,
+            asked_at: f64::NEG_INFINITY,
+            told: false,
             version: 0,
             entries: Entries::default(),
             failures: 0,
@@ -56,6 +65,7 @@
     pub(super) fn follow(&mut self, now: f64) {
         if self.watch.answer.is_none() {
             self.watch.pausing = false;
+            (self.watch.asked_at, self.watch.told) = (now, false);
             self.effects.push(Effect::Follow(self.watch.discovery, self.watch.version));
             self.watch_within(now + WATCH_OPENS);
         }
@@ -80,14 +90,22 @@
 
     pub(super) fn watched(&mut self, now: f64, bytes: &[u8]) {
         let Some(mut answer) = self.watch.answer.take() else { return };
-        let mut lines: Vec<Vec<u8>> = Vec::new();
+        let (mut lines, mut whole): (Vec<Vec<u8>>, bool) = (Vec::new(), false);
         let outcome = answer.feed(bytes, |line| {
+            whole = true;
             if !line.trim_ascii().is_empty() {
                 lines.push(line.to_vec());
             }
         });
         self.watch.answer = Some(answer);
-        self.watch_within(now + WATCH_SILENT);
+        // Whole lines alone are signs of life: a line in pieces that never ended kept a dead watch for ever.
+        if whole {
+            self.watch.told = true;
+            self.watch_within(now + WATCH_SILENT);
+        } else if !self.watch.told {
+            let patience = self.watch.failures.clamp(1, PATIENCE);
+            self.watch_within(self.watch.asked_at + WATCH_SILENT * f64::from(patience));
+        }
         for line in lines {
             match serde_json::from_slice::<Value>(&line) {
                 Ok(told) => {
@@ -151,6 +169,9 @@
         };
         let listed: Vec<_> = entries.into_iter().map(|(listed, _)| listed).collect();
         self.balancer.list(now, news, &listed);
+        if !remembered {
+            self.confirm(now);
+        }
         if !gone.is_empty() {
             // What stands at a server that is gone leaves it; the list changes seldom enough to look at all.
             let lost = |l: &Out| l.stage == LegStage::Standing && gone.contains(&l.server);
@@ -161,6 +182,16 @@
         true
     }
 
+    /// The list held is as good as can be had: who came before is heard.
+    pub(super) fn confirm(&mut self, now: f64) {
+        if std::mem::take(&mut self.unconfirmed) {
+            let greeting = |s: &Session| s.stage == Stage::Greeting && !s.head.is_empty();
+            let keys: Vec<usize> =
+                self.sessions.iter().filter(|(_, s)| greeting(s)).map(|(key, _)| key).collect();
+            keys.into_iter().for_each(|key| self.greet(now, key));
+        }
+    }
+
     pub(super) fn watch_fault(&mut self, now: f64, fault: &str) {
         if self.watch.failures == 0 {
             warn!("discovery: the watch is given up: {fault}");
@@ -186,11 +217,10 @@
         if let Some(old) = self.watch.timer.take() {
             self.timers.cancel(old);
         }
-        if self.must_ask && away == 0 {
-            // The balancer asks again when it thinks fit.
-            return self.balancer.list(now, News::Failed, &[]);
-        }
-        let at = now + pause.min(longest) * (0.5 + self.chance.rand_float());
+        // One clock for both ways of listing: one that the balancer had to ask for was left alone for seconds, longer
+        // than what it missed may take to count as told.
+        let from = if away > 0 { now } else { self.watch.asked_at };
+        let at = (from + pause.min(longest) * (0.5 + self.chance.rand_float())).max(now);
         self.watch.pausing = true;
         self.watch.timer = Some(self.timers.set(at, Due::Watch));
     }
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -533,7 +533,8 @@
             self.tell(now, Event::WatchOpen, &[]);
         }
         let mut scratch = std::mem::take(&mut self.scratch);
-        while let Some(link) = self.watch.as_mut() {
+        // One that was opened in its place meanwhile has not come up.
+        while let Some(link) = self.watch.as_mut().filter(|l| !l.connecting) {
             match link.socket.read(&mut scratch) {
                 Ok(0) => self.lose_watch(now),
                 Ok(n) => self.tell(now, Event::Watch(&scratch[..n]), &[]),
--- a/crates/dewhead-proxy/tests/owed.rs
+++ b/crates/dewhead-proxy/tests/owed.rs
@@ -197,3 +197,105 @@
         assert!(stand.exit, "{killed}: over by then");
     }
 }
+
+/// The agent that is dead in this way: what it writes on a watch that is opened, and later, again and again.
+fn dead(kind: &str) -> (&'static [u8], &'static [u8]) {
+    match kind {
+        "silent" => (b"", b""),
+        "a head that never ends" => (b"HTTP/1.1 200 OK\r\n", b"X"),
+        _ => (b"HTTP/1.1 200 OK\r\n\r\n", b" "),
+    }
+}
+
+/// What a silent watch misses counts as told six seconds after it fell silent, and the opening in its place may be dead too.
+/// Any byte put the end off: a line in pieces that never ended kept a dead watch for ever.
+#[test]
+fn a_dead_watch_and_a_dead_opening_are_got_over_within_six_seconds() {
+    for mode in ["automatic", "subscribe"] {
+        for kind in ["silent", "a head that never ends", "a line that never ends"] {
+            for seed in 0..20 {
+                let mut told = settings();
+                told["membershipMode"] = json!(mode);
+                let mut stand = Stand::of(seed, &told, 256, list(1, true, vec![host(0, "ready")]));
+                stand.watch(&list(2, true, vec![host(0, "ready")]).to_string());
+                let (fell_silent, mut seen) = (stand.now, stand.follows.len());
+                let (first, then) = dead(kind);
+                // On the watch that was open, no head can come any more.
+                let mut drip = if kind == "silent" { then } else { b" " };
+                while stand.now < fell_silent + 5.8 {
+                    stand.later(0.05);
+                    if stand.follows.len() > seen && stand.follows.len() < 4 {
+                        seen = stand.follows.len();
+                        stand.watching = true;
+                        stand.tell(Event::WatchOpen);
+                        if !first.is_empty() {
+                            stand.tell(Event::Watch(first));
+                        }
+                        drip = then;
+                    }
+                    if stand.watching && stand.follows.len() < 4 && !drip.is_empty() {
+                        stand.tell(Event::Watch(drip));
+                    }
+                }
+                let openings = stand.follows.len() - 1;
+                assert!(
+                    openings >= 2,
+                    "{mode}, {kind}: opened {openings} times since, of which the first was dead"
+                );
+            }
+        }
+    }
+}
+
+/// Between losing the watch and the new list the list held is old, and what the agent has counts as told: a watch that had
+/// been open for long was left alone for up to 0.15 s, past a grace of 0.1 s, and an asked-for list for up to 3.7 s.
+#[test]
+fn a_watch_that_was_open_is_asked_for_anew_in_the_moment_it_is_lost() {
+    for mode in ["automatic", "subscribe"] {
+        for seed in 0..20 {
+            let mut told = settings();
+            told["membershipMode"] = json!(mode);
+            let mut stand = Stand::of(seed, &told, 256, list(1, true, vec![host(0, "ready")]));
+            stand.watch(&list(2, true, vec![host(0, "ready")]).to_string());
+            stand.later(1.0);
+            stand.tell(Event::Watch(b"\n"));
+            let before = stand.follows.len();
+            stand.tell(Event::WatchLost);
+            stand.later(0.0);
+            assert_eq!(stand.follows.len(), before + 1, "{mode}: asked at once");
+            // A discovery that ends each call at once is not asked without a pause.
+            for _ in 0..100 {
+                stand.tell(Event::WatchLost);
+                stand.later(0.01);
+            }
+            assert!(
+                stand.follows.len() < before + 14,
+                "{mode}: {} times in a second",
+                stand.follows.len() - before
+            );
+        }
+    }
+}
+
+/// What the agent has counts as told from the first moment of a new process, whose list is the one from before it ended. A
+/// client that came before the agent's answer was sent to a server that drained.
+#[test]
+fn a_process_that_starts_hears_discovery_before_its_first_client() {
+    let held = || list(1, true, (0..2).map(|n| host(n, "ready")).collect());
+    for drained in 0..2 {
+        let mut stand = Stand::unheard(7, &settings(), 256, held());
+        let client = stand.call("order");
+        let ping = stand.open("PING\r\n");
+        assert_eq!((stand.dialled.len(), stand.got(ping).as_str()), (0, ""));
+        told(&mut stand, vec![host(drained, "draining")]);
+        assert_eq!(stand.dialled, [9001 - drained]);
+        assert_eq!((stand.got(ping).as_str(), stand.got(client).as_str()), ("PONG\r\n", ""));
+    }
+    // One that says nothing is not waited for: setting a call up must still be in time.
+    let mut stand = Stand::unheard(7, &settings(), 256, held());
+    let (client, gone) = (stand.call("feed"), stand.call("feed"));
+    stand.tell(Event::Closed(End::Client(gone), How::Closed));
+    stand.later(0.15);
+    assert_eq!(stand.dialled.len(), 1, "for the one that stayed");
+    assert_eq!(stand.got(client), "");
+}
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -402,7 +402,7 @@
     settings["membershipMode"] = mode.into();
     let known = list(1, true, vec![host(0, "ready")]);
     let mut fleet: Vec<Stand> =
-        (0..proxies).map(|seed| Stand::of(u128::from(seed), &settings, 256, known.clone())).collect();
+        (0..proxies).map(|seed| Stand::unheard(u128::from(seed), &settings, 256, known.clone())).collect();
     let mut asked = vec![0; fleet.len()];
     // Whose call, its number, when it came, and whether it was ended.
     let mut queue: std::collections::VecDeque<(usize, usize, f64, bool)> = Default::default();
