What lies in the sockets is read before timers judge, and nobody who left is sent on

Sockets are read first, timers only once a batch was not full (16 full batches at the most). Beyond the suspect: with that mended the same connection was still moved, 'messages at server take 1.200 s ... is told MOVE': its echo was measured by our own hold-up. By how much a turn comes later than its next timer is now taken off what is measured in it. turn.rs connected(): a leg's connection up and its client's end in one batch, the leg's first: the line went out for a client that had left. The client's end is read before the head is written (closed, half-closed or reset).

--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -176,6 +176,8 @@
     /// At a stop: by when whoever waits has its answer.
     answered_by: Option<f64>,
     time_is_up: bool,
+    /// By how much this turn came later than it was meant to: what is measured in it took so much less.
+    held_up: f64,
     /// The list held is from before the start, and discovery may have told of drains since: no first line is read yet.
     unconfirmed: bool,
     descriptors: Descriptors,
@@ -223,6 +225,7 @@
             ends: false,
             answered_by: None,
             time_is_up: false,
+            held_up: 0.0,
             unconfirmed: false,
             descriptors: Descriptors { used: FIXED, most: most_descriptors, accepting: true },
             chance: Rand64::new(seed ^ 1),
@@ -246,6 +249,12 @@
         self.timers.next()
     }
 
+    /// The process was held up for so many seconds. What servers answered meanwhile was taken for slow, and who stood there
+    /// was sent away.
+    pub fn was_held_up(&mut self, seconds: f64) {
+        self.held_up = seconds;
+    }
+
     /// A session's first line, for `Effect::Head`.
     pub fn head(&self, session: usize) -> &[u8] {
         self.sessions.get(session).map_or(&[], |s| &s.head)
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -29,6 +29,10 @@
 const READS: usize = 8;
 /// So many clients are accepted before those who are in have their turn.
 const ACCEPTS: usize = 32;
+/// So much is taken from one poll at the most.
+const BATCH: usize = 1024;
+/// Timers wait for sockets that still have something to say, but for no more batches than this.
+const MOST_UNTICKED: u32 = 16;
 /// Where accepting fails, it is tried again after this.
 const ACCEPT_PAUSE: f64 = 0.05;
 
@@ -157,8 +161,9 @@
 
     /// Runs until the reducer asks for the end.
     pub fn run(&mut self) -> io::Result<()> {
-        let mut events = Events::with_capacity(1024);
+        let mut events = Events::with_capacity(BATCH);
         let now = self.clock.now();
+        let mut unticked = 0;
         self.apply(now, &[]);
         self.live(now, Told::List(self.reducer.holds_list()));
         self.live(now, Told::Listens);
@@ -177,10 +182,11 @@
                 other => other?,
             }
             let now = self.clock.now();
+            // Whoever was due and was not looked at tells how long nobody was.
+            self.reducer.was_held_up(due.map_or(0.0, |at| (now - at).max(0.0)));
             if let Some(event) = events.iter().find(|e| e.token() == WATCH) {
                 self.watch_ready(now, event.is_writable());
             }
-            self.tell(now, Event::Tick, &[]);
             for end in std::mem::take(&mut self.again) {
                 self.read(now, end);
             }
@@ -210,16 +216,18 @@
                     }
                 }
             }
+            self.end_broken(now);
+            // Only once all that had come by now is read: a process that was held up for a second took what lay in its
+            // sockets for silence, and sent away who had been answered. One poll may not bring all of it.
+            unticked += 1;
+            if events.iter().count() < BATCH || unticked > MOST_UNTICKED {
+                unticked = 0;
+                self.tell(now, Event::Tick, &[]);
+            }
             if self.accepting && self.accept_from.is_some_and(|at| at <= now) {
                 self.accept(now);
             }
-            while let Some(end) = self.broken.pop_front() {
-                // What it sent before it broke still counts, above all a last word.
-                self.read(now, end);
-                if self.link(end).is_some_and(|l| !l.ended) {
-                    self.tell(now, Event::Closed(end, How::Broken), &[]);
-                }
-            }
+            self.end_broken(now);
             if self.exit {
                 // Who came in time and was not accepted yet would be reset with the listener.
                 while self.accept(now) {}
@@ -231,6 +239,16 @@
         Ok(())
     }
 
+    fn end_broken(&mut self, now: f64) {
+        while let Some(end) = self.broken.pop_front() {
+            // What it sent before it broke still counts, above all a last word.
+            self.read(now, end);
+            if self.link(end).is_some_and(|l| !l.ended) {
+                self.tell(now, Event::Closed(end, How::Broken), &[]);
+            }
+        }
+    }
+
     /// Opens the control socket.
     pub fn open_desk(&mut self, path: &std::path::Path) -> io::Result<()> {
         self.desk = Some(Desk::open(path, self.poll.registry())?);
@@ -434,7 +452,7 @@
                 Ok(_) => {
                     link.connecting = false;
                     if let End::Server(leg) = end {
-                        self.tell(now, Event::Connected(leg), &[]);
+                        self.connected(now, leg);
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
@@ -448,6 +466,18 @@
         }
     }
 
+    /// A leg's connection is up. Its client may have left meanwhile, and that lie behind in the same batch: its line went
+    /// out for nobody.
+    fn connected(&mut self, now: f64, leg: usize) {
+        if let Some(client) = self.reducer.client_of(leg) {
+            self.read(now, client);
+        }
+        // The leg may have ended by that, and its slot be another's, which is not up.
+        if self.link(End::Server(leg)).is_some_and(|l| !l.connecting) {
+            self.tell(now, Event::Connected(leg), &[]);
+        }
+    }
+
     fn refused(&mut self, now: f64, end: End) {
         if let End::Server(leg) = end {
             self.tell(now, Event::Refused(leg), &[]);
--- /dev/null
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -0,0 +1,181 @@
+//! A real proxy, a discovery and servers over loopback, whose steps a test takes one by one: what must come first is seen
+//! to have come before the next is done.
+
+use super::{list, ZONES};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes on a machine with all cores busy.
+pub const EVER: Duration = Duration::from_secs(20);
+
+pub fn line(of: &mut impl BufRead) -> String {
+    let mut line = String::new();
+    of.read_line(&mut line).expect("a line");
+    line
+}
+
+pub fn until(what: &str, mut seen: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !seen() {
+        assert!(began.elapsed() < EVER, "{what}: not seen");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A server as the list has it.
+pub fn entry(name: &str, at: SocketAddr, health: &str) -> Value {
+    json!({"host": name, "dial": at.to_string(), "site": ZONES[0], "block": 0, "health": health, "share": 1.0,
+           "born_ms": 0})
+}
+
+/// The program itself; it ends with this.
+pub struct Proxy {
+    child: Child,
+    pub at: SocketAddr,
+    config: PathBuf,
+    pub log: BufReader<std::process::ChildStderr>,
+}
+
+impl Proxy {
+    /// Started with these settings and this list from before; serves by the time that this returns.
+    pub fn start(settings: &Value, discovery: SocketAddr, known: Vec<Value>) -> Proxy {
+        static MADE: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+        let made = MADE.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let config = std::env::temp_dir().join(format!("dewhead-ends-{}-{made}.json", std::process::id()));
+        let told = json!({"name": "p", "listen": at.to_string(), "discovery": discovery.to_string(), "seed": "7",
+                          "known": list(1, true, known), "settings": settings, "limits": {"sockets": 256}});
+        std::fs::write(&config, told.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
+        command.args(["serve", "--config"]).arg(&config).env("RUST_LOG", "info");
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap());
+        let proxy = Proxy { child, at, config, log };
+        until("the proxy serves", || {
+            let Ok(mut socket) = TcpStream::connect(at) else { return false };
+            let mut said = String::new();
+            socket.write_all(b"PING\r\n").is_ok()
+                && BufReader::new(socket).read_line(&mut said).is_ok()
+                && said == "PONG\r\n"
+        });
+        proxy
+    }
+
+    pub fn tell(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Waits until the log has a line with this.
+    pub fn logs(&mut self, what: &str) {
+        while !line(&mut self.log).contains(what) {}
+    }
+
+    /// Whether it has ended by itself, well.
+    pub fn ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some_and(|status| status.success())
+    }
+
+    /// A client with its first line sent.
+    pub fn client(&self, id: u64, kind: &str, wait: u64) -> BufReader<TcpStream> {
+        let mut socket = TcpStream::connect(self.at).unwrap();
+        socket.set_read_timeout(Some(EVER)).unwrap();
+        write!(socket, "OPEN {id:016x} 7f3a9c21e0b4d655 c={kind},t=shop-a,d={wait}\r\n").unwrap();
+        BufReader::new(socket)
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// A listener of a server or a discovery.
+pub struct Place {
+    pub listener: TcpListener,
+    pub at: SocketAddr,
+    /// Fills the queue of one that is held up.
+    filler: Option<TcpStream>,
+}
+
+impl Place {
+    pub fn new() -> Place {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Place { at: listener.local_addr().unwrap(), listener, filler: None }
+    }
+
+    /// One whose queue is full: connections come up only after `let_up`, once they are tried again.
+    pub fn held_up() -> Place {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&any.into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        listener.set_nonblocking(true).unwrap();
+        let at = listener.local_addr().unwrap();
+        Place { at, listener, filler: Some(TcpStream::connect(at).unwrap()) }
+    }
+
+    /// Whether somebody has begun to connect here and is not up.
+    pub fn is_tried(&self) -> bool {
+        let port = format!(":{:04X} 02 ", self.at.port());
+        std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(|l| l.contains(&port))
+    }
+
+    /// Lets the next come up, and returns it once it is.
+    pub fn let_up(&mut self) -> TcpStream {
+        if self.filler.take().is_some() {
+            drop(self.accept());
+        }
+        self.accept()
+    }
+
+    pub fn accept(&self) -> TcpStream {
+        let mut came = None;
+        until("a connection", || {
+            came = self.listener.accept().ok();
+            came.is_some()
+        });
+        let (socket, _) = came.unwrap();
+        socket.set_nonblocking(false).unwrap();
+        socket.set_read_timeout(Some(EVER)).unwrap();
+        socket
+    }
+
+    /// Accepts a server's next connection with its first line.
+    pub fn asked(&self) -> (BufReader<TcpStream>, String) {
+        let mut lines = BufReader::new(self.accept());
+        let head = line(&mut lines);
+        (lines, head)
+    }
+
+    /// Accepts the next watch and tells it this list.
+    pub fn watch(&self, seq: u64, whole: bool, hosts: Vec<Value>) -> TcpStream {
+        let (mut watch, asked) = self.asked();
+        assert!(asked.starts_with("GET /v1/servers?follow=1&since="), "{asked}");
+        while line(&mut watch) != "\r\n" {}
+        let mut watch = watch.into_inner();
+        write!(watch, "HTTP/1.1 200 OK\r\n\r\n{}\n", list(seq, whole, hosts)).unwrap();
+        watch
+    }
+}
+
+/// All that still comes, to the end; an end by a reset counts as one.
+pub fn rest(mut of: impl Read) -> String {
+    let mut all = Vec::new();
+    let _ = of.read_to_end(&mut all);
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+pub fn say(to: &BufReader<TcpStream>, text: &str) {
+    to.get_ref().write_all(text.as_bytes()).unwrap();
+}
--- a/crates/dewhead-proxy/tests/common/mod.rs
+++ b/crates/dewhead-proxy/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)]
 
+pub mod loopback;
+
 use dewhead_proxy::reducer::{Effect, End, Event, How, Reducer};
 use dewhead_startup::Startup;
 use serde_json::{json, Value};
