--- a/crates/dewhead-proxy/src/memory/timers.rs
+++ b/crates/dewhead-proxy/src/memory/timers.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// How many wait.
+    pub fn count(&self) -> usize {
+        self.due.len()
+    }
+
     /// When the next falls due.
     pub fn next(&self) -> Option<f64> {
         self.due.first_key_value().map(|((at, _), _)| *at as f64 / 1e6)
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -278,6 +278,11 @@
         (self.sessions.len(), self.legs.len(), self.descriptors.used - FIXED)
     }
 
+    /// Timers that wait; each belongs to a session, a leg, the watch, the balancer or a stop.
+    pub fn timers(&self) -> usize {
+        self.timers.count()
+    }
+
     /// Whether servers are known.
     pub fn holds_list(&self) -> bool {
         !self.servers.0.is_empty()
--- a/crates/dewhead-proxy/tests/common/loopback.rs
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -53,7 +53,10 @@
                           "known": list(1, true, known), "settings": settings, "limits": {"sockets": 256}});
         std::fs::write(&config, told.to_string()).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
-        command.args(["serve", "--config"]).arg(&config).env("RUST_LOG", "info");
+        command
+            .args(["serve", "--config"])
+            .arg(&config)
+            .env("RUST_LOG", "info,dewhead_proxy::reducer::watch=debug");
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let log = BufReader::new(child.stderr.take().unwrap());
         let proxy = Proxy { child, at, config, log };
