--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -142,6 +142,8 @@
 /// At the start discovery is heard before clients are, but for no longer than this part of the longest guard time: the
 /// agent answers at once, or is silent.
 const CONFIRMS: f64 = 1.0 / 16.0;
+/// What a server takes is not judged in a turn that came late by this part of it.
+const OWN_DELAY: f64 = 0.1;
 /// A session's slot in the call's id; the rest is its serial number.
 const SLOT_BITS: u32 = 24;
 
@@ -176,7 +178,8 @@
     /// At a stop: by when whoever waits has its answer.
     answered_by: Option<f64>,
     time_is_up: bool,
-    /// By how much this turn came later than it was meant to: what is measured in it took so much less.
+    /// All that came by then has been read; and by how much this turn came later than it was meant to.
+    looked_at: f64,
     held_up: f64,
     /// The list held is from before the start, and discovery may have told of drains since: no first line is read yet.
     unconfirmed: bool,
@@ -225,6 +228,7 @@
             ends: false,
             answered_by: None,
             time_is_up: false,
+            looked_at: f64::INFINITY,
             held_up: 0.0,
             unconfirmed: false,
             descriptors: Descriptors { used: FIXED, most: most_descriptors, accepting: true },
@@ -249,10 +253,15 @@
         self.timers.next()
     }
 
-    /// The process was held up for so many seconds. What servers answered meanwhile was taken for slow, and who stood there
-    /// was sent away.
-    pub fn was_held_up(&mut self, seconds: f64) {
-        self.held_up = seconds;
+    /// The turn that begins brings all that came by `at`, and comes so many seconds late. Held up between looking and
+    /// reading its clock, the process judged by a time that nothing had been looked for until.
+    pub fn looked(&mut self, at: f64, late: f64) {
+        (self.looked_at, self.held_up) = (at, late);
+    }
+
+    /// Whether a time that ends in this turn tells of a server, and not of our own delay.
+    fn tells(&self, took: f64) -> bool {
+        self.held_up <= OWN_DELAY * took
     }
 
     /// A session's first line, for `Effect::Head`.
@@ -317,7 +326,7 @@
             Event::Watch(bytes) => self.watched(now, bytes),
             Event::WatchLost => self.watch_lost(now),
             Event::Tick => {
-                while let Some(due) = self.timers.pop(now) {
+                while let Some(due) = self.timers.pop(now.min(self.looked_at)) {
                     self.due(now, due);
                     self.settle(now);
                 }
--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -139,11 +139,11 @@
             let wake = self.timers.set(leave, Due::Leave(key));
             self.replace_wake(key, Some(wake));
         }
-        if let Some(address) = self.servers.0.get_mut(&server).filter(|_| fresh) {
+        let judged = fresh && self.tells(now - asked_at);
+        if let Some(address) = self.servers.0.get_mut(&server).filter(|_| judged) {
             let ran = now - address.started.map_or(self.began, |started| started.max(self.began));
             let fades = 4.0 * self.longest_guard;
-            let took = now - asked_at - self.held_up;
-            let slower = address.pace.set_up(&mut self.kinds, traffic, took, (now, ran), fades);
+            let slower = address.pace.set_up(&mut self.kinds, traffic, now - asked_at, (now, ran), fades);
             self.messages_take(now, leg, SETUPS, slower * self.slow_unit);
         }
         self.watch_lines(now, leg, &said);
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -177,13 +177,14 @@
                 Some(at) => Some(Duration::from_secs_f64((at - self.clock.now()).clamp(0.0, 60.0))),
                 None => None,
             };
+            let looked_at = self.clock.now();
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
             let now = self.clock.now();
-            // Whoever was due and was not looked at tells how long nobody was.
-            self.reducer.was_held_up(due.map_or(0.0, |at| (now - at).max(0.0)));
+            // Whoever was due and was not looked at tells that nobody was.
+            self.reducer.looked(looked_at, due.map_or(0.0, |at| (now - at).max(0.0)));
             if let Some(event) = events.iter().find(|e| e.token() == WATCH) {
                 self.watch_ready(now, event.is_writable());
             }
@@ -217,8 +218,8 @@
                 }
             }
             self.end_broken(now);
-            // Only once all that had come by now is read: a process that was held up for a second took what lay in its
-            // sockets for silence, and sent away who had been answered. One poll may not bring all of it.
+            // Only once all that came before is read: a process that was held up for a second took what lay in its sockets
+            // for silence, and sent away who had been answered. One poll may not bring all of it.
             unticked += 1;
             if events.iter().count() < BATCH || unticked > MOST_UNTICKED {
                 unticked = 0;
