--- a/crates/dewhead-proxy/tests/customers.rs
+++ b/crates/dewhead-proxy/tests/customers.rs
@@ -78,7 +78,7 @@
             held.push((client, leg));
         }
         // A drain: the next goes elsewhere.
-        write!(watch, "{}\n", list(3, false, hosts("draining"))).unwrap();
+        writeln!(watch, "{}", list(3, false, hosts("draining"))).unwrap();
         proxy.logs("is Draining");
         let (kind, guard) = (classes[0]["name"].as_str().unwrap(), classes[0]["guardTime"].as_f64().unwrap());
         let mut client = open(100, kind, guard);
--- a/crates/dewhead-proxy/tests/ends.rs
+++ b/crates/dewhead-proxy/tests/ends.rs
@@ -32,7 +32,7 @@
         let mut client = proxy.client(1, kind, 15_000);
         until("the leg is dialled", || first.is_tried());
         let drained = vec![entry("s-1", first.at, "draining"), entry("s-2", second.at, "ready")];
-        write!(watch, "{}\n", list(3, false, drained)).unwrap();
+        writeln!(watch, "{}", list(3, false, drained)).unwrap();
         // The list is read: another call goes by it.
         let mut other = proxy.client(2, kind, 15_000);
         let (served, _) = second.asked();
