--- a/crates/dewhead-proxy/tests/interleavings.rs
+++ b/crates/dewhead-proxy/tests/interleavings.rs
@@ -53,7 +53,7 @@
                 }
             }
         }
-        for (client, leg, port) in self.stand.heads[self.heads..].to_vec() {
+        for (client, leg, port) in self.stand.heads[self.heads..].iter().copied() {
             assert_eq!(self.health[port - 9000], "ready", "rule 3: sent to a server that was told to drain");
             let call = &self.calls[&client];
             assert!(call.kind != "order" || !call.may_have_run, "rule 2: a once-only call that may have run");
@@ -119,7 +119,7 @@
 fn owes_nothing(seed: u64) -> bool {
     let mut dice = Rand64::new(u128::from(seed));
     let mut told = settings();
-    told["membershipMode"] = json!(if seed % 2 == 0 { "automatic" } else { "subscribe" });
+    told["membershipMode"] = json!(if seed.is_multiple_of(2) { "automatic" } else { "subscribe" });
     told["trafficTypes"][2]["keyScope"] = json!("zone");
     let known = list(1, true, (0..SERVERS).map(|n| host(n, "ready")).collect());
     let mut play = Play {
@@ -180,7 +180,7 @@
             (17, ..) => play.tell(Event::Undrain, None),
             _ => play.later(dice.rand_float() * 0.2),
         }
-        if step == stop && seed % 3 == 0 {
+        if step == stop && seed.is_multiple_of(3) {
             let at = play.stand.now;
             play.tell(Event::Stop, None);
             // A fifth of the plays stop while the rest of the events go on; time goes on faster.
