--- a/crates/dewhead-proxy/tests/common/loopback.rs
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -47,7 +47,8 @@
     pub fn start(settings: &Value, discovery: SocketAddr, known: Vec<Value>) -> Proxy {
         static MADE: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
         let made = MADE.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        // An address that no connection goes out from: its port stays free until the proxy has it.
+        let at = TcpListener::bind("127.0.3.2:0").unwrap().local_addr().unwrap();
         let config = std::env::temp_dir().join(format!("dewhead-ends-{}-{made}.json", std::process::id()));
         let told = json!({"name": "p", "listen": at.to_string(), "discovery": discovery.to_string(), "seed": "7",
                           "known": list(1, true, known), "settings": settings, "limits": {"sockets": 256}});
