--- a/crates/dewhead-proxy/tests/sockets.rs
+++ b/crates/dewhead-proxy/tests/sockets.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::loopback::line;
 use common::{list, settings, ZONES};
 use dewhead_proxy::reducer::Reducer;
 use dewhead_proxy::turn::{Clock, Turn};
@@ -18,12 +19,6 @@
     TcpListener::bind("127.0.0.1:0").expect("a loopback port")
 }
 
-fn line(of: &mut impl BufRead) -> String {
-    let mut line = String::new();
-    of.read_line(&mut line).expect("a line");
-    line
-}
-
 /// Takes each connection up and says every line back.
 fn serve(listener: TcpListener, up: &'static str) {
     for socket in listener.incoming() {
