--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -490,6 +490,11 @@
         if link.is_clear() {
             return;
         }
+        // The rest of a head goes out only for a client that is still there.
+        if let Some(client) = link.asking.then_some(end).and_then(|e| self.reducer.other(e)) {
+            self.read(now, client);
+        }
+        let Some(link) = self.link(end) else { return };
         match link.flush() {
             Ok(false) => {}
             Ok(true) => {
--- a/crates/dewhead-proxy/tests/common/loopback.rs
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -116,6 +116,13 @@
         self.child.try_wait().unwrap().is_some_and(|status| status.success())
     }
 
+    /// What it holds in memory now.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Whether the end of the client that had this address has reached the proxy's machine.
     pub fn has_heard_the_end_of(&self, client: SocketAddr) -> bool {
         let stands = format!("{} {} 01 ", written(self.at), written(client));
--- a/tools/cold_servers.py
+++ b/tools/cold_servers.py
@@ -1,45 +1,65 @@
 #!/usr/bin/env python3
-"""How near all proxies together come to rule 4 on a day, from their logs (RUST_LOG=debug).
+"""How near all proxies together come to rule 4 on a day, from their logs (RUST_LOG=trace, as loads are wanted).
 
-usage: cold_servers.py STANDING COLD_SHARE WARM_S MULTIPLE WINDOW_S FOLDER...
-The first five are told by the settings; STANDING is the sum of what the shops have agreed on, in connections. For each
-cold server the worst window: what was sent over N + 3 roots of N + 3, N being what these figures allow it then; and the
-age at its start, what was sent, that in mean loads, N and the limit. Servers are warmer and sooner warm than told.
+usage: cold_servers.py COLD_SHARE WARM_S MULTIPLE WINDOW_S FOLDER...
+The first four are told by the settings. A server bears its weight in mean loads as told. For each folder: how much was sent to
+cold servers in all; the servers that came nearest to the limit, N + 2 roots of N + 2 with N what these figures allow in the
+window, each with its part of the limit, weight, age, what was sent, N and the limit; and how often each tenth was reached.
+Servers are warmer and sooner warm than told: falls were first seen at about 3 times this reckoning.
 """
 import collections
 import glob
 import re
 import sys
 
-S, share, warm, mult, win = map(float, sys.argv[1:6])
-L=re.compile(r"^(\d+\.\d+) \[(\w+) +([\w:]+)\] (.*)$")
-for d in sys.argv[6:]:
-    ev=[]
-    for p in glob.glob(d+'/*.log'):
-        for l in open(p):
-            m=L.match(l)
-            if m: ev.append((float(m[1]),m[4]))
-    ev.sort(key=lambda e:e[0])
-    h={};W={};st={};sent=collections.defaultdict(list);hs=[]
-    total=0
-    for t,x in ev:
-        if m:=re.match(r"server (\w+) is (\w+) in zone (\d+), of weight ([\d.]+), started ([-\w.]+)",x):
-            W[m[1]]=float(m[4]); 
-            if m[5]!='inf': st[m[1]]=max(t-float(m[5]),st.get(m[1],-9))
-            if t<1: total=sum(W.values())
-        elif m:=re.match(r"(\w{16}): opens, OPEN \w+ (\w+) (\S+)",x):
-            v=re.search(r'h=([\d.]+)',m[3]); h[m[1]]=float(v[1])/1e6 if v else 0; hs.append(h[m[1]])
-        elif m:=re.match(r"(\w{16}): leg (\d+) to server (\w+)",x): sent[m[3]].append((t,h.get(m[1],0)))
-    mean=sum(hs)/len(hs)
-    out=[]
-    for s in st:
-        a=[(t-st[s],x/mean) for t,x in sent[s] if t>=st[s]]
-        worst=0
-        for i,(t0,_) in enumerate(a):
-            n=sum(1 for t,_ in a[i:] if t<=t0+win); w=sum(x for t,x in a[i:] if t<=t0+win)
-            if t0>warm: break
-            N=mult*win*S*W[s]/total/warm*(share+(1-share)*min(1,t0/warm))
-            lim=N+3*N**.5+3
-            if n/lim>worst: worst=n/lim; at=(round(t0,1),n,round(w,1),round(N,1),round(lim,1))
-        if worst: out.append((round(worst,2),s,W[s],at))
-    print(d,'mean load %.4f'%mean); [print('   ',o) for o in sorted(out,reverse=True)[:5]]
+LINE = re.compile(r"^(\d+\.\d+) \[(\w+) +([\w:]+)\] (.*)$")
+LISTED = re.compile(r"server (\w+) is (\w+) in zone (\d+), of weight ([\d.]+), started ([-\w.]+)")
+LEG = re.compile(r"(\w{16}): leg (\d+) to server (\w+)")
+LOADS = re.compile(r"(\w{16}): loads server (\w+) with ([\d.e-]+)")
+
+
+def main():
+    share, warm, multiple, window = map(float, sys.argv[1:5])
+    for folder in sys.argv[5:]:
+        weight, started, sent, loads = {}, {}, collections.defaultdict(list), []
+        for path in glob.glob(folder + "/*.log"):
+            for line in open(path, errors="replace"):
+                match = LINE.match(line)
+                if not match:
+                    continue
+                at, text = float(match[1]), match[4]
+                if m := LISTED.match(text):
+                    weight[m[1]] = float(m[4])
+                    if m[5] != "inf":
+                        started[m[1]] = at - float(m[5])
+                elif m := LEG.match(text):
+                    sent[m[3]].append(at)
+                elif m := LOADS.match(text):
+                    loads.append(float(m[3]))
+        if not loads:
+            sys.exit(f"{folder}: no loads are told; were the logs written with RUST_LOG=trace?")
+        mean = sum(loads) / len(loads)
+        nearest, tenths, total = [], collections.Counter(), 0
+        for server, start in started.items():
+            ages = sorted(at - start for at in sent[server] if at >= start)
+            total += sum(age < warm for age in ages)
+            worst = None
+            for first, age in enumerate(ages):
+                if age > warm:
+                    break
+                count = sum(a <= age + window for a in ages[first:])
+                present = share + (1 - share) * min(1.0, age / warm)
+                allowed = multiple * window * weight[server] / mean / warm * present
+                limit = allowed + 2 * allowed**0.5 + 2
+                tenths[int(10 * count / limit)] += 1
+                if worst is None or count / limit > worst[0]:
+                    worst = (round(count / limit, 2), server, weight[server], round(age, 1), count, round(allowed, 1), round(limit, 1))
+            if worst:
+                nearest.append(worst)
+        print(folder, f"mean load {mean:.4f}, {len(started)} cold servers, sent while cold {total}")
+        for one in sorted(nearest, reverse=True)[:5]:
+            print("   ", *one)
+        print("    tenths of the limit:", dict(sorted(tenths.items())))
+
+
+main()
