A changed list costs what changed; 64-bit server numbers; lists of thousands of servers have room

Now: entries are read one at a time and kept as text, gone servers alone are looked for, a line may be 4 MiB, a longer one is refused in one line, what is held stays, and it is asked for every 5 s; numbers have 64 bits. What is handed on to a successor has version 2.

--- a/crates/dewhead-lab/src/plain.rs
+++ b/crates/dewhead-lab/src/plain.rs
@@ -90,10 +90,10 @@
     until: f64,
     target: f64,
     /// For one that is put back: its node.
-    at: Option<u32>,
+    at: Option<u64>,
     leg: Option<usize>,
     sent: u32,
-    tried: Vec<u32>,
+    tried: Vec<u64>,
     /// The first leg that may have run: its zone, its cell, when.
     ran: Option<(usize, u64, f64)>,
     /// Its oldest line that has brought nothing back, and its load as told.
@@ -108,7 +108,7 @@
 
 struct Leg {
     session: usize,
-    node: u32,
+    node: u64,
     sent: bool,
     up: bool,
     answer: Vec<u8>,
@@ -156,7 +156,7 @@
     siblings: f64,
     crossing: f64,
     home: usize,
-    nodes: BTreeMap<u32, Node>,
+    nodes: BTreeMap<u64, Node>,
     turn: usize,
     sessions: Slab<Session>,
     legs: Slab<Leg>,
@@ -258,7 +258,7 @@
             .map(|h| h["host"].as_str().unwrap_or("").to_owned())
             .collect();
         if whole {
-            let gone: Vec<u32> =
+            let gone: Vec<u64> =
                 self.nodes.keys().copied().filter(|id| !entries.iter().any(|(l, _)| l.id == *id)).collect();
             gone.into_iter().for_each(|id| self.lose_node(now, id));
         }
@@ -285,7 +285,7 @@
         }
     }
 
-    fn lose_node(&mut self, now: f64, id: u32) {
+    fn lose_node(&mut self, now: f64, id: u64) {
         if self.nodes.remove(&id).is_some() && self.fault != Some(Fault::IgnoresDrains) {
             let there: Vec<usize> =
                 self.legs.iter().filter(|(_, l)| l.node == id && l.up).map(|(_, l)| l.session).collect();
@@ -294,7 +294,7 @@
     }
 
     /// Where a call goes, among the nodes that the rules leave it.
-    fn pick(&mut self, now: f64, key: usize) -> Option<u32> {
+    fn pick(&mut self, now: f64, key: usize) -> Option<u64> {
         let session = &self.sessions[key];
         let kind = &self.traffic[session.kind];
         let leaves_group = self.fault == Some(Fault::LeavesTheGroup);
@@ -318,7 +318,7 @@
                 return Some(*id);
             }
         }
-        let mut fit: Vec<u32> = self
+        let mut fit: Vec<u64> = self
             .nodes
             .iter()
             .filter(|(id, n)| {
@@ -329,7 +329,7 @@
         if fit.is_empty() {
             return None;
         }
-        let held = |id: &u32| self.nodes[id].held;
+        let held = |id: &u64| self.nodes[id].held;
         match self.policy {
             Policy::Random => Some(fit[self.chance.rand_range(0..fit.len() as u64) as usize]),
             Policy::RoundRobin => {
@@ -351,9 +351,9 @@
     }
 
     /// By what is truly there: the node that this load leaves emptiest, home ones before others at like load.
-    fn emptiest(&self, fit: &[u32], load: f64) -> Option<u32> {
+    fn emptiest(&self, fit: &[u64], load: f64) -> Option<u64> {
         let mut truths = self.truths.borrow_mut();
-        let mut best: Option<(f64, u32, usize)> = None;
+        let mut best: Option<(f64, u64, usize)> = None;
         for id in fit {
             let name = &self.nodes[id].name;
             let Some(at) = truths.iter().position(|(n, _)| n == name) else { continue };
@@ -657,7 +657,7 @@
     /// The top's: moves the heaviest of its own off nodes that are asked more than they can do.
     fn even(&mut self, now: f64) {
         self.set(now + EVEN, Due::Even);
-        let over: Vec<(u32, f64)> = {
+        let over: Vec<(u64, f64)> = {
             let truths = self.truths.borrow();
             let mut over = Vec::new();
             for (id, node) in &self.nodes {
--- a/crates/dewhead-proxy/src/memory/known.rs
+++ b/crates/dewhead-proxy/src/memory/known.rs
@@ -2,35 +2,38 @@
 //! has shown, and how old that is.
 
 use super::pace::{Kinds, Pace};
+use crate::wire::listing::Version;
 use dewhead::learned::Learned;
+use dewhead::terms::State;
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
 
 /// The version of what is handed on. Another one is not read: a successor then starts from the list alone.
-pub const VERSION: u64 = 1;
+pub const VERSION: u64 = 2;
 
-/// The list's entries as they came, by host; one leaves when the list says gone or names it no more.
+/// The list's entries as they were written, by host; one leaves when the list says gone or names it no more. As trees they
+/// took two thirds of all that a proxy holds for a server.
 #[derive(Default)]
-pub struct Entries(BTreeMap<String, Value>);
+pub struct Entries(BTreeMap<String, Box<str>>);
 
 impl Entries {
-    pub fn follow(&mut self, whole: bool, told: &Value) {
+    pub fn follow(&mut self, whole: bool, version: &mut Version) {
         if whole {
             self.0.clear();
         }
-        for host in told["hosts"].as_array().into_iter().flatten() {
-            let Some(name) = host["host"].as_str() else { continue };
-            if host["health"] == "gone" {
-                self.0.remove(name);
+        for ((host, text), (listed, _)) in version.texts.drain(..).zip(&version.entries) {
+            if listed.state == State::Gone {
+                self.0.remove(&host);
             } else {
-                self.0.insert(name.to_owned(), host.clone());
+                self.0.insert(host, text);
             }
         }
     }
 
     /// The whole list, in discovery's form.
     pub fn list(&self, version: u64) -> Value {
-        json!({"seq": version, "whole": true, "hosts": self.0.values().collect::<Vec<_>>()})
+        let hosts: Vec<Value> = self.0.values().filter_map(|text| serde_json::from_str(text).ok()).collect();
+        json!({"seq": version, "whole": true, "hosts": hosts})
     }
 }
 
@@ -49,7 +52,7 @@
     now: f64,
     list: Value,
     balancer: &[Learned],
-    paces: impl Iterator<Item = (u32, &'a Pace)>,
+    paces: impl Iterator<Item = (u64, &'a Pace)>,
     kinds: &Kinds,
 ) -> Value {
     let paces: Map<String, Value> = paces.map(|(id, one)| (id.to_string(), pace(one, now))).collect();
@@ -62,7 +65,7 @@
     pub at: f64,
     pub list: Value,
     pub servers: Vec<Learned>,
-    pub paces: BTreeMap<u32, (f64, f64, u32, f64)>,
+    pub paces: BTreeMap<u64, (f64, f64, u32, f64)>,
     pub kinds: Vec<(u32, f64)>,
 }
 
@@ -81,7 +84,7 @@
             pair => Some((pair[0].as_f64()?, pair[1].as_f64()?)),
         };
         Some(Learned {
-            server: whole(&value["server"])?,
+            server: value["server"].as_u64()?,
             started: value["started"].as_f64(),
             limit,
             carried: value["carried"].as_f64()?,
--- a/crates/dewhead-proxy/src/memory/servers.rs
+++ b/crates/dewhead-proxy/src/memory/servers.rs
@@ -3,7 +3,7 @@
 use super::pace::Pace;
 use crate::wire::listing::Entry;
 use dewhead::terms::State;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 pub struct Address {
@@ -20,14 +20,15 @@
 
 /// By the module's number; an entry goes when the list says gone or names it no more.
 #[derive(Default)]
-pub struct Servers(pub BTreeMap<u32, Address>);
+pub struct Servers(pub BTreeMap<u64, Address>);
 
 impl Servers {
     /// Follows the list; returns the servers that have left it.
-    pub fn follow(&mut self, whole: bool, entries: &[Entry]) -> Vec<u32> {
+    pub fn follow(&mut self, whole: bool, entries: &[Entry]) -> Vec<u64> {
         let mut gone = Vec::new();
         if whole {
-            gone.extend(self.0.keys().filter(|id| !entries.iter().any(|(l, _)| l.id == **id)));
+            let named: BTreeSet<u64> = entries.iter().map(|(l, _)| l.id).collect();
+            gone.extend(self.0.keys().filter(|id| !named.contains(id)));
         }
         for (listed, dial) in entries {
             if listed.state == State::Gone {
@@ -53,7 +54,9 @@
                 address.delays = [(0.0, f64::NEG_INFINITY); 2];
             }
         }
-        self.0.retain(|id, _| !gone.contains(id));
+        for id in &gone {
+            self.0.remove(id);
+        }
         gone
     }
 }
--- a/crates/dewhead-proxy/src/memory/sessions.rs
+++ b/crates/dewhead-proxy/src/memory/sessions.rs
@@ -57,7 +57,7 @@
     /// For the call's own wake and for leaving at a stop.
     pub wake: Option<Timer>,
     /// For `Returning`: the server that held it before, and what it wants.
-    pub returning: Option<(u32, Wanted)>,
+    pub returning: Option<(u64, Wanted)>,
 }
 
 /// The client's id of a session, for the log: by it a request is followed through all proxies that it came to.
@@ -99,7 +99,7 @@
     pub session: usize,
     /// Its number in the call.
     pub number: usize,
-    pub server: u32,
+    pub server: u64,
     /// Where it was dialled.
     pub to: SocketAddr,
     pub stage: LegStage,
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -16,6 +16,7 @@
 use crate::memory::timers::{Timer, Timers};
 use crate::wire::answers;
 use crate::wire::http::Answer;
+use crate::wire::listing::Version;
 use dewhead::state::Balancer;
 use dewhead::terms::Ending;
 use dewhead_startup::{Known, Startup};
@@ -237,7 +238,8 @@
         };
         reducer.balancer.begin(now);
         if !remembered.is_null() {
-            reducer.list(now, remembered, true);
+            let told = Version::told(remembered, &reducer.known.zones);
+            reducer.list(now, told, true);
             reducer.unconfirmed = reducer.holds_list();
             reducer.timers.set(now + CONFIRMS * longest_guard, Due::Confirmed);
         }
--- a/crates/dewhead-proxy/src/reducer/door.rs
+++ b/crates/dewhead-proxy/src/reducer/door.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 
 pub enum Asked {
-    Send(u64, u32, f64),
+    Send(u64, u64, f64),
     Reject(u64, Option<f64>),
     Release(u64),
     Withdraw(u64, u32),
@@ -28,7 +28,7 @@
 }
 
 impl Outward for Door {
-    fn send(&self, call: u64, server: u32, limit: f64) {
+    fn send(&self, call: u64, server: u64, limit: f64) {
         self.ask(Asked::Send(call, server, limit));
     }
     fn reject(&self, call: u64, stay_away: Option<f64>) {
@@ -53,7 +53,7 @@
         self.ask(Asked::Follow);
     }
     // Servers on sockets have no word for it.
-    fn probe(&self, _: u32) -> bool {
+    fn probe(&self, _: u64) -> bool {
         false
     }
     fn remark(&self, text: &str) {
--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -8,7 +8,7 @@
 use log::debug;
 
 impl Reducer {
-    pub(super) fn send(&mut self, now: f64, key: usize, server: u32, limit: f64) {
+    pub(super) fn send(&mut self, now: f64, key: usize, server: u64, limit: f64) {
         let session = &mut self.sessions[key];
         let number = session.sent;
         session.sent += 1;
@@ -18,13 +18,13 @@
     }
 
     /// Puts a connection back to the server that held it.
-    pub(super) fn dial(&mut self, now: f64, key: usize, server: u32, until: f64) {
+    pub(super) fn dial(&mut self, now: f64, key: usize, server: u64, until: f64) {
         if !self.dial_as(now, key, server, until, 0) {
             self.again(now, key);
         }
     }
 
-    pub(super) fn dial_as(&mut self, now: f64, key: usize, server: u32, until: f64, number: usize) -> bool {
+    pub(super) fn dial_as(&mut self, now: f64, key: usize, server: u64, until: f64, number: usize) -> bool {
         let to = self.servers.0.get(&server).and_then(|s| s.dial);
         let Some(to) = to.filter(|_| self.descriptors.used + TO_REFUSE < self.descriptors.most) else {
             return false;
--- a/crates/dewhead-proxy/src/reducer/status.rs
+++ b/crates/dewhead-proxy/src/reducer/status.rs
@@ -26,7 +26,7 @@
         for (_, session) in &self.sessions {
             *stages.entry(name(session.stage)).or_default() += 1;
         }
-        let mut held: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut held: BTreeMap<u64, usize> = BTreeMap::new();
         for (_, leg) in &self.legs {
             *held.entry(leg.server).or_default() += 1;
         }
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -4,11 +4,11 @@
 use crate::memory::known::Entries;
 use crate::memory::sessions::{LegStage, Out, Session, Stage};
 use crate::memory::timers::Timer;
-use crate::wire::http::{Answer, TURNED_AWAY};
-use crate::wire::listing::listing;
+use crate::wire::http::{Answer, TOO_LONG, TURNED_AWAY};
+use crate::wire::listing::Version;
 use dewhead::terms::{Ending, News, State};
+use dewhead_startup::fields::Outcome;
 use log::{debug, warn};
-use serde_json::Value;
 use std::net::SocketAddr;
 
 /// Discovery writes every two seconds at least; this long without a word and the watch is dead. What it has to tell
@@ -117,13 +117,13 @@
             }
         }
         for line in lines {
-            match serde_json::from_slice::<Value>(&line) {
-                Ok(told) => {
-                    if !self.list(now, &told, false) {
+            match Version::read(&line, &self.known.zones) {
+                Some(version) => {
+                    if !self.list(now, version, false) {
                         return self.watch_fault(now, "its list was not understood");
                     }
                 }
-                Err(_) => return self.watch_fault(now, "it wrote no JSON"),
+                None => return self.watch_fault(now, "it wrote no JSON"),
             }
         }
         match outcome {
@@ -134,8 +134,8 @@
     }
 
     /// A version of the list; false where it was not understood, and the list held stays.
-    pub(super) fn list(&mut self, now: f64, told: &Value, remembered: bool) -> bool {
-        let (version, whole, mut entries) = match listing(told, &self.known.zones) {
+    pub(super) fn list(&mut self, now: f64, told: Outcome<Version>, remembered: bool) -> bool {
+        let mut told = match told {
             Ok(list) => list,
             Err(fault) => {
                 if self.watch.failures == 0 {
@@ -144,8 +144,9 @@
                 return false;
             }
         };
+        let (version, whole) = (told.number, told.whole);
         // Nor is one believed that names nobody yet.
-        if version < self.watch.version && (!whole || entries.is_empty()) {
+        if version < self.watch.version && (!whole || told.entries.is_empty()) {
             warn!("discovery: version {version} is older than {}, which is held", self.watch.version);
             return true;
         }
@@ -154,7 +155,7 @@
             // one, nodes that it drained meanwhile went on being sent to. One that is only behind brings nothing back:
             // a server held as draining stays so until it has started anew or a change names it.
             warn!("discovery: version {version} for {}, which was held: it counts anew", self.watch.version);
-            for (listed, _) in &mut entries {
+            for (listed, _) in &mut told.entries {
                 let held = self.servers.0.get(&listed.id);
                 if held.is_some_and(|h| h.state == State::Draining && h.started == listed.started) {
                     listed.state = State::Draining;
@@ -163,21 +164,21 @@
         }
         self.watch.version = version;
         (self.watch.failures, self.watch.turned_away) = (0, false);
-        self.watch.entries.follow(whole || remembered, told);
-        for (listed, _) in &entries {
+        self.watch.entries.follow(whole || remembered, &mut told);
+        for (listed, _) in &told.entries {
             let ago = listed.started.map_or(f64::INFINITY, |started| now - started);
             debug!(
                 "server {:x} is {:?} in zone {}, of weight {}, started {ago:.1} s ago",
                 listed.id, listed.state, listed.zone, listed.weight
             );
         }
-        let gone = self.servers.follow(whole || remembered, &entries);
+        let gone = self.servers.follow(whole || remembered, &told.entries);
         let news = match () {
             () if remembered => News::Remembered,
             () if whole => News::Whole,
             () => News::Changes,
         };
-        let listed: Vec<_> = entries.into_iter().map(|(listed, _)| listed).collect();
+        let listed: Vec<_> = told.entries.into_iter().map(|(listed, _)| listed).collect();
         self.balancer.list(now, news, &listed);
         if !remembered {
             self.confirm(now);
@@ -206,7 +207,8 @@
         if self.watch.failures == 0 {
             warn!("discovery: the watch is given up: {fault}");
         }
-        self.watch.turned_away = fault == TURNED_AWAY;
+        // A list that is too long is so again: it would be written over and over.
+        self.watch.turned_away = matches!(fault, TURNED_AWAY | TOO_LONG);
         self.effects.push(Effect::Unfollow);
         self.ask_later(now);
     }
--- a/crates/dewhead-proxy/src/wire/http.rs
+++ b/crates/dewhead-proxy/src/wire/http.rs
@@ -1,7 +1,8 @@
 //! Discovery's watch: an HTTP answer that stays open, its chunks cut anywhere, one JSON object a line.
 
-/// The longest line of a watch; a longer one is a fault.
-const LONGEST: usize = 1 << 20;
+/// The longest line of a watch; a longer one is a fault. An entry takes about 140 bytes and, once read, a kilobyte or so, and
+/// the smallest proxy has 32 MB: as many servers as one can hold have room in a line, and the line in it.
+const LONGEST: usize = 4 << 20;
 const LONGEST_HEAD: usize = 16 << 10;
 
 /// The request for all changes since a version.
@@ -12,6 +13,7 @@
     .into_bytes()
 }
 
+pub const TOO_LONG: &str = "a line is longer than 4 MiB; the list held is kept";
 /// The fault of an answer that serves nothing.
 pub const TURNED_AWAY: &str = "it did not answer 200";
 
@@ -100,7 +102,7 @@
     fn lines(&mut self, bytes: &[u8], seen: &mut impl FnMut(&[u8])) -> Result<(), &'static str> {
         for piece in bytes.split_inclusive(|b| *b == b'\n') {
             if self.line.len() + piece.len() > LONGEST {
-                return Err("a line is too long");
+                return Err(TOO_LONG);
             }
             self.line.extend_from_slice(piece);
             if piece.ends_with(b"\n") {
--- a/crates/dewhead-proxy/tests/reducer.rs
+++ b/crates/dewhead-proxy/tests/reducer.rs
@@ -657,3 +657,56 @@
     stand.tell(Event::Watch(format!("{}\n", list(2, false, vec![host(2, "ready")])).as_bytes()));
     assert_eq!(to(&mut stand), [9000, 9002, 9003], "a change names it, and it serves again");
 }
+
+/// Folded to 32 bits, these two names gave one number: a drain of the one left the other, which was ready, unused.
+#[test]
+fn a_drain_of_one_server_is_no_drain_of_another() {
+    let named = |name: &str, n: usize, health: &str| {
+        let mut one = host(n, health);
+        one["host"] = name.into();
+        one
+    };
+    let (one, other) = ("s-00009ebb", "s-00016d13");
+    let mut stand = Stand::new(256, list(1, true, vec![named(one, 0, "ready"), named(other, 1, "ready")]));
+    stand.watch(&list(2, false, vec![named(one, 0, "draining")]).to_string());
+    for _ in 0..4 {
+        stand.call("feed");
+    }
+    assert_eq!(stand.dialled, vec![9001; 4], "all go to the one that does not drain");
+}
+
+/// A list of 8,500 servers was over the longest line: it was asked for again for ever, and nobody was ever served.
+#[test]
+fn a_list_of_many_thousands_of_servers_is_taken_up() {
+    let mut stand = Stand::ready(1);
+    let many = (0..12_000).map(|n| {
+        let mut one = host(0, "ready");
+        one["host"] = format!("s-{n:08x}.some-hall.example").into();
+        one
+    });
+    stand.watch(&list(2, true, many.collect()).to_string());
+    assert_eq!(stand.reducer.status(stand.now)["servers_ready"], 12_000);
+}
+
+/// One that is too long is refused, and what is held stays; it is not written over and over.
+#[test]
+fn a_list_that_is_too_long_leaves_what_is_held() {
+    let mut stand = Stand::ready(1);
+    let before = stand.follows.len();
+    stand.watching = true;
+    stand.tell(Event::WatchOpen);
+    stand.tell(Event::Watch(b"HTTP/1.1 200 OK\r\n\r\n"));
+    let piece = vec![b' '; 1 << 20];
+    for _ in 0..6 {
+        if stand.watching {
+            stand.tell(Event::Watch(&piece));
+        }
+    }
+    assert!(!stand.watching, "it is given up");
+    (0..48).for_each(|_| stand.later(0.1));
+    assert_eq!(stand.follows.len(), before, "and left alone for a while");
+    (0..9).for_each(|_| stand.later(0.1));
+    assert_eq!(stand.follows.len(), before + 1);
+    stand.call("feed");
+    assert_eq!(stand.dialled, [9000]);
+}
--- a/crates/dewhead-proxy/tests/wire.rs
+++ b/crates/dewhead-proxy/tests/wire.rs
@@ -163,7 +163,7 @@
 #[test]
 fn a_server_is_numbered_by_its_host_name_alone() {
     assert_eq!(number_of("s-5be2a07c"), number_of("s-5be2a07c"));
-    let all: std::collections::BTreeSet<u32> = (0..2000).map(|n| number_of(&format!("s-{n:08x}"))).collect();
+    let all: std::collections::BTreeSet<u64> = (0..2000).map(|n| number_of(&format!("s-{n:08x}"))).collect();
     assert_eq!(all.len(), 2000);
     let (_, _, entries) =
         listing(&common::list(1, true, vec![common::host(3, "ready")]), &common::ZONES.map(str::to_owned))
--- a/crates/dewhead-wirehost/src/door.rs
+++ b/crates/dewhead-wirehost/src/door.rs
@@ -45,7 +45,7 @@
 }
 
 impl Outward for Door {
-    fn send(&self, call: u64, server: u32, limit: f64) {
+    fn send(&self, call: u64, server: u64, limit: f64) {
         let limit = limit * 1000.0;
         self.action(
             "CALL_OUT",
@@ -82,7 +82,7 @@
         self.action("KEEP_INFORMED", format_args!(",\"active\":true"));
     }
 
-    fn probe(&self, server: u32) -> bool {
+    fn probe(&self, server: u64) -> bool {
         self.action("SOUND_OUT", format_args!(",\"server\":{server}"));
         true
     }
--- a/crates/dewhead-wirehost/src/host.rs
+++ b/crates/dewhead-wirehost/src/host.rs
@@ -74,8 +74,8 @@
     })
 }
 
-fn server_id(of: &Value) -> Outcome<u32> {
-    u32::try_from(whole(of, "server")?).map_err(|_| wrong("server", "a number below 2^32"))
+fn server_id(of: &Value) -> Outcome<u64> {
+    u32::try_from(whole(of, "server")?).map(u64::from).map_err(|_| wrong("server", "a number below 2^32"))
 }
 
 fn call_id(of: &Value) -> Outcome<u64> {
--- a/crates/dewhead/src/learned.rs
+++ b/crates/dewhead/src/learned.rs
@@ -7,7 +7,7 @@
 /// What was learned of one server. Ages are seconds before it was told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Learned {
-    pub server: u32,
+    pub server: u64,
     /// The process that it was learned of; another one is unknown.
     pub started: Option<f64>,
     /// The limit as it was cut, in standard cores, and how long ago.
--- a/crates/dewhead/src/outward.rs
+++ b/crates/dewhead/src/outward.rs
@@ -2,7 +2,7 @@
 
 pub trait Outward {
     /// Start a leg of a call; `limit` is its time-out in seconds.
-    fn send(&self, call: u64, server: u32, limit: f64);
+    fn send(&self, call: u64, server: u64, limit: f64);
     /// Final answer: rejected. `stay_away` is how long the client is asked to wait, in seconds.
     fn reject(&self, call: u64, stay_away: Option<f64>);
     /// Final answer: released, with no promise about its effect.
@@ -18,7 +18,7 @@
     /// Follow the list of servers from now on.
     fn follow_list(&self);
     /// Ask a server for its load; `Balancer::probed` tells what came back. False where hosts have no word for it.
-    fn probe(&self, server: u32) -> bool;
+    fn probe(&self, server: u64) -> bool;
     /// A line for the operators.
     fn remark(&self, text: &str);
 }
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -178,7 +178,7 @@
 
     /// Where this balancer rounds its part of a server up. The golden section spreads the balancers evenly
     /// for each server, so that many small parts, rounded to whole connections, add up to its share.
-    fn rounding(&self, server: u32) -> f64 {
+    fn rounding(&self, server: u64) -> f64 {
         (rank(0, server) + self.position * GOLDEN).fract()
     }
 
@@ -272,16 +272,19 @@
                 Err(at) => servers.insert(at, Server::new(now, listed, self.rounding(listed.id))),
             }
         }
-        servers.retain(|s| s.state.get() != State::Gone || s.held.get() > 0);
+        // To look at all of them for each change would cost what the whole fleet does.
+        if news != News::Changes || entries.iter().any(|e| e.state == State::Gone) {
+            servers.retain(|s| s.state.get() != State::Gone || s.held.get() > 0);
+        }
     }
 
-    fn named(&self, id: u32) -> Option<Rc<Server>> {
+    fn named(&self, id: u64) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         servers.binary_search_by_key(&id, |s| s.id).ok().map(|at| servers[at].clone())
     }
 
     /// A probe's answer: what is asked of the server over what it can do; none where it did not tell.
-    pub fn probed(&self, now: f64, server: u32, asked: Option<f64>) {
+    pub fn probed(&self, now: f64, server: u64, asked: Option<f64>) {
         let Some(server) = self.named(server) else { return };
         if let Some(asked) = asked {
             server.report.set(Some((asked, now)));
@@ -300,7 +303,7 @@
     }
 
     /// A connection that stands already.
-    pub fn adopt(&self, now: f64, id: u64, wanted: Wanted, server: u32) -> Rc<Call> {
+    pub fn adopt(&self, now: f64, id: u64, wanted: Wanted, server: u64) -> Rc<Call> {
         let call = self.handle(now, id, wanted);
         // A server that no list has named yet holds it all the same.
         let server = self.named(server).unwrap_or_else(|| {
@@ -583,8 +586,8 @@
 }
 
 /// A figure from 0 to 1 that is any balancer's for this group and server.
-fn rank(group: u64, server: u32) -> f64 {
-    Rand64::new(u128::from(group) << 32 | u128::from(server)).rand_float()
+fn rank(group: u64, server: u64) -> f64 {
+    Rand64::new(u128::from(group) << 32 ^ u128::from(server)).rand_float()
 }
 
 impl Call {
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -109,7 +109,7 @@
     pub(crate) report: Cell<Option<(f64, f64)>>,
     /// Group -> own connections of it here; an entry goes with its last connection.
     pub(crate) groups: RefCell<BTreeMap<u64, u32>>,
-    pub(crate) id: u32,
+    pub(crate) id: u64,
     pub(crate) cell: u64,
     /// The most own load since the last cut, less what the server dropped.
     pub(crate) carried: Cell<f64>,
--- a/crates/dewhead/src/terms.rs
+++ b/crates/dewhead/src/terms.rs
@@ -44,7 +44,7 @@
 /// A server as the list names it.
 #[derive(Clone, Debug)]
 pub struct Listed {
-    pub id: u32,
+    pub id: u64,
     pub zone: usize,
     pub cell: u64,
     pub state: State,
@@ -55,7 +55,7 @@
 
 impl Listed {
     /// One that no list has named yet: nothing new goes there.
-    pub fn unnamed(id: u32, zone: usize) -> Listed {
+    pub fn unnamed(id: u64, zone: usize) -> Listed {
         Listed { id, zone, cell: 0, state: State::Gone, weight: 0.0, started: None }
     }
 }
--- a/crates/dewhead/tests/common/mod.rs
+++ b/crates/dewhead/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 pub struct Sent {
-    pub server: u32,
+    pub server: u64,
     pub at: f64,
     pub until: f64,
     pub ended: Option<Ending>,
@@ -35,15 +35,15 @@
     pub most: Cell<u32>,
     pub two_at_once: Cell<bool>,
     pub books: RefCell<BTreeMap<u64, Book>>,
-    pub listed: RefCell<BTreeMap<u32, Listed>>,
+    pub listed: RefCell<BTreeMap<u64, Listed>>,
     pub moved: RefCell<Vec<u64>>,
     pub wakes: RefCell<Vec<(f64, Option<u64>)>>,
     pub asked: Cell<u32>,
-    pub probed: RefCell<Vec<u32>>,
+    pub probed: RefCell<Vec<u64>>,
 }
 
 impl Outward for Watcher {
-    fn send(&self, call: u64, server: u32, limit: f64) {
+    fn send(&self, call: u64, server: u64, limit: f64) {
         let now = self.now.get();
         let mut books = self.books.borrow_mut();
         let book = books.get_mut(&call).expect("a call that was taken");
@@ -105,7 +105,7 @@
         self.asked.set(self.asked.get() + 1);
     }
 
-    fn probe(&self, server: u32) -> bool {
+    fn probe(&self, server: u64) -> bool {
         self.probed.borrow_mut().push(server);
         true
     }
@@ -126,8 +126,8 @@
     TrafficType { effect, window: 2.0, setup_target: 0.5, message_target: 0.1, guard_time: 3.0, revenue: 1.0 }
 }
 
-pub fn server(id: u32, zone: usize, weight: f64) -> Listed {
-    Listed { id, zone, cell: u64::from(id % 2), state: State::Ready, weight, started: None }
+pub fn server(id: u64, zone: usize, weight: f64) -> Listed {
+    Listed { id, zone, cell: id % 2, state: State::Ready, weight, started: None }
 }
 
 impl Stand {
@@ -218,7 +218,7 @@
     }
 
     /// Where the call's last leg went.
-    pub fn at(&self, id: u64) -> Option<u32> {
+    pub fn at(&self, id: u64) -> Option<u64> {
         self.watcher.books.borrow()[&id].sent.last().map(|s| s.server)
     }
 
@@ -245,7 +245,7 @@
     }
 
     /// A call that stands with this load; where it stands.
-    pub fn standing(&mut self, load: f64) -> (u64, u32) {
+    pub fn standing(&mut self, load: f64) -> (u64, u64) {
         let id = self.take(0, Some(load), None);
         let at = self.at(id).expect("there is room");
         self.establish(id);
--- a/crates/dewhead/tests/fleet/mod.rs
+++ b/crates/dewhead/tests/fleet/mod.rs
@@ -31,7 +31,7 @@
     }
 }
 
-fn server(id: u32, weight: f64, started: Option<f64>) -> Listed {
+fn server(id: u64, weight: f64, started: Option<f64>) -> Listed {
     Listed { id, zone: 0, cell: 0, state: State::Ready, weight, started }
 }
 
@@ -90,12 +90,12 @@
 
 #[derive(Default)]
 struct Door {
-    sent: RefCell<VecDeque<(u64, u32)>>,
+    sent: RefCell<VecDeque<(u64, u64)>>,
     moved: RefCell<VecDeque<u64>>,
 }
 
 impl Outward for Door {
-    fn send(&self, call: u64, server: u32, _: f64) {
+    fn send(&self, call: u64, server: u64, _: f64) {
         self.sent.borrow_mut().push_back((call, server));
     }
     fn reject(&self, _: u64, _: Option<f64>) {}
@@ -107,7 +107,7 @@
     fn wake_call(&self, _: u64, _: f64) {}
     fn wake(&self, _: f64) {}
     fn follow_list(&self) {}
-    fn probe(&self, _: u32) -> bool {
+    fn probe(&self, _: u64) -> bool {
         false
     }
     fn remark(&self, _: &str) {}
@@ -117,7 +117,7 @@
     group: Option<u64>,
     back_at: f64,
     /// The balancer, the call and the server where it stands.
-    stands: Option<(usize, Rc<Call>, u32)>,
+    stands: Option<(usize, Rc<Call>, u64)>,
 }
 
 struct Node {
@@ -136,7 +136,7 @@
     balancers: Vec<Rc<Balancer>>,
     clients: Vec<Client>,
     by_call: BTreeMap<u64, usize>,
-    nodes: BTreeMap<u32, Node>,
+    nodes: BTreeMap<u64, Node>,
     /// What is still to be told: when, to whom, what.
     news: Vec<(f64, usize, Listed)>,
     calls: u64,
@@ -188,7 +188,7 @@
             day,
         };
         let day = fleet.day.clone();
-        for id in 0..day.servers as u32 {
+        for id in 0..day.servers as u64 {
             // Weights of 1 and 3 by turns, 2 in the mean.
             let listed = server(1 + id * 7, if id % 2 == 0 { 3.0 } else { 1.0 }, None);
             fleet.add(listed);
@@ -232,7 +232,7 @@
             // From 5 s on, a tenth of the servers drains each 2 s, until half have; their successors start 2 s later.
             if step % 40 == 0 && (5.0..15.0).contains(&time) {
                 let first = (time / 2.0 - 3.0).max(0.0) as usize * batch;
-                let old: Vec<u32> = self.nodes.keys().copied().skip(first).take(batch).collect();
+                let old: Vec<u64> = self.nodes.keys().copied().skip(first).take(batch).collect();
                 for id in old {
                     let node = self.nodes.get_mut(&id).unwrap();
                     node.ends_at = now + 4.0;
@@ -305,7 +305,7 @@
     }
 
     fn serve(&mut self, now: f64) {
-        let ids: Vec<u32> = self.nodes.keys().copied().collect();
+        let ids: Vec<u64> = self.nodes.keys().copied().collect();
         for id in ids {
             let node = &self.nodes[&id];
             let started = node.listed.started.unwrap_or(f64::NEG_INFINITY);
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -47,7 +47,7 @@
         kinds,
         (seed.is_multiple_of(4), seed.is_multiple_of(5)),
     );
-    let mut fleet: Vec<Listed> = (0..8).map(|i| server(i, i as usize % 3, f64::from(1 + i % 3))).collect();
+    let mut fleet: Vec<Listed> = (0..8).map(|i| server(i, i as usize % 3, (1 + i % 3) as f64)).collect();
     stand.list(News::Remembered, &fleet);
     for _ in 0..400 {
         let now = stand.now() + dice.rand_float() * 0.2;
@@ -159,7 +159,7 @@
     assert_eq!(stand.standing(0.1).1, at);
     // A reading right after the last one hardly counts: 0.1 + 0.1 stay nearly as they were.
     stand.calls[&first].load_is(110.000001, 0, 100.0);
-    let next: Vec<u32> = (0..4).map(|_| stand.standing(0.1).1).collect();
+    let next: Vec<u64> = (0..4).map(|_| stand.standing(0.1).1).collect();
     assert!(next.contains(&at), "one early reading does not close a server");
 }
 
@@ -167,7 +167,7 @@
 fn an_overdriven_server_gets_nothing_and_sheds_politely() {
     let mut stand = Stand::plain();
     stand.list(News::Whole, &[server(1, 0, 1.0), server(2, 0, 1.0)]);
-    let all: Vec<(u64, u32)> = (0..20).map(|_| stand.standing(0.1)).collect();
+    let all: Vec<(u64, u64)> = (0..20).map(|_| stand.standing(0.1)).collect();
     let slow = all.iter().find(|(_, at)| *at == 1).unwrap().0;
     stand.calls[&slow].messages_take(100.0, 0, 1.0);
     let moved = stand.watcher.moved.borrow().len();
@@ -328,7 +328,7 @@
     for seed in 0..40 {
         let mut stand = Stand::new(seed, legs_of(3), 0.0, false, vec![traffic(Effect::Repeatable)]);
         stand.list(News::Whole, &fleet);
-        let mut last: Vec<(u64, u32)> = (0..8).map(|_| stand.standing(0.1)).collect();
+        let mut last: Vec<(u64, u64)> = (0..8).map(|_| stand.standing(0.1)).collect();
         for turn in 0..80 {
             stand.end(last[turn % 8].0, 0, Ending::Served);
             last[turn % 8] = stand.standing(0.1);
@@ -361,7 +361,7 @@
     // Incident iadd0bb: servers were cut on and on while what had piled up was on its way out.
     let mut stand = Stand::plain();
     stand.list(News::Whole, &[server(1, 0, 1.0), server(2, 0, 1.0)]);
-    let all: Vec<(u64, u32)> = (0..40).map(|_| stand.standing(0.1)).collect();
+    let all: Vec<(u64, u64)> = (0..40).map(|_| stand.standing(0.1)).collect();
     let slow = all.iter().find(|(_, at)| *at == 1).unwrap().0;
     stand.calls[&slow].messages_take(100.0, 0, 0.2);
     let moved = stand.watcher.moved.borrow().clone();
@@ -446,7 +446,7 @@
     for (apart, closes) in [(5.0, false), (0.05, true)] {
         let mut stand = Stand::plain();
         stand.list(News::Whole, &[server(1, 0, 1.0), server(2, 0, 1.0)]);
-        let all: Vec<(u64, u32)> = (0..60).map(|_| stand.standing(0.1)).collect();
+        let all: Vec<(u64, u64)> = (0..60).map(|_| stand.standing(0.1)).collect();
         let there: Vec<u64> = all.iter().filter(|(_, at)| *at == 1).map(|(id, _)| *id).collect();
         for (times, id) in there[..3].iter().enumerate() {
             stand.watcher.now.set(100.0 + times as f64 * apart);
@@ -466,7 +466,7 @@
     (0..3).for_each(|_| assert!(stand.standing(0.1).1 > 0));
     for held in 0..60 {
         let wanted = Wanted { traffic: 0, shop: None, until: 103.0, hint: Some(0.1), group: None };
-        let call = stand.balancer.adopt(100.0, 1000 + held, wanted, 1 + (held % 2) as u32);
+        let call = stand.balancer.adopt(100.0, 1000 + held, wanted, 1 + held % 2);
         stand.calls.insert(1000 + held, call);
     }
     stand.list(News::Changes, &[Listed { started: Some(100.0), ..server(3, 0, 1.0) }]);
@@ -523,7 +523,7 @@
     assert!(moved <= 20, "{moved} moves of 120 connections in half a minute");
 }
 
-fn fleet(count: u32, weight: f64) -> Vec<Listed> {
+fn fleet(count: u64, weight: f64) -> Vec<Listed> {
     (0..count).map(|id| server(id, 0, weight)).collect()
 }
 
@@ -601,7 +601,7 @@
 fn nobody_is_moved_where_no_other_server_has_room() {
     let moved_from_the_last = |delay: f64| {
         let mut stand = holding(7, &fleet(2, 1.0), 0, false);
-        let calls: Vec<(u64, u32)> = (0..16).map(|_| stand.standing(1.0)).collect();
+        let calls: Vec<(u64, u64)> = (0..16).map(|_| stand.standing(1.0)).collect();
         for at in [0, 1] {
             let (id, _) = calls.iter().find(|(_, server)| *server == at).expect("both are used");
             stand.watcher.now.set(stand.now() + 0.01);
@@ -750,7 +750,7 @@
         let kinds = vec![traffic(Effect::Repeatable)];
         let mut stand = Stand::of(vec![0.0; 2], seed, legs_of(3), 0.12, false, kinds, (false, false));
         let mut listed = fleet(6, 1.0);
-        listed.extend((0..servers).map(|at| server(20 + at, 1 + at as usize % 2, 1.0)));
+        listed.extend((0..servers).map(|at| server(20 + u64::from(at), 1 + at as usize % 2, 1.0)));
         stand.list(News::Whole, &listed);
         (0..6).for_each(|_| _ = stand.standing(1.0));
         stand.list(News::Changes, &[Listed { started: Some(stand.now()), ..server(99, 0, 1.0) }]);
@@ -776,7 +776,7 @@
         let mut stand = Stand::new(1, legs_of(3), 0.12, false, vec![traffic(Effect::Repeatable)]);
         stand.list(News::Whole, &[server(1, 1, 1.0)]);
         (0..10).for_each(|_| _ = stand.standing(0.1));
-        let home: Vec<_> = (0..servers).map(|at| server(10 + at, 0, 1.0)).collect();
+        let home: Vec<_> = (0..servers).map(|at| server(10 + u64::from(at), 0, 1.0)).collect();
         stand.list(News::Changes, &home);
         stand.watcher.now.set(110.0);
         stand.balancer.woken(110.0);
