--- a/crates/dewhead-lab/src/commands/mod.rs
+++ b/crates/dewhead-lab/src/commands/mod.rs
@@ -1,12 +1,15 @@
 //! The command line.
 
+mod capacity;
 mod compare;
 mod demo;
+mod hollow;
 mod hunt;
 mod kinds;
 mod replay;
 mod report;
 mod run;
+mod scale;
 mod table;
 
 use argh::FromArgs;
@@ -29,6 +32,9 @@
     Kinds(kinds::Kinds),
     Report(report::Report),
     Hunt(hunt::Hunt),
+    Scale(scale::Scale),
+    Capacity(capacity::Capacity),
+    Hollow(hollow::Hollow),
 }
 
 /// Runs the program; what it returns is the exit code.
@@ -43,6 +49,9 @@
         Command::Kinds(kinds) => kinds.carry_out(),
         Command::Report(report) => report.carry_out(),
         Command::Hunt(hunt) => hunt.carry_out(),
+        Command::Scale(scale) => scale.carry_out(),
+        Command::Capacity(capacity) => capacity.carry_out(),
+        Command::Hollow(hollow) => hollow.carry_out(),
     };
     match outcome {
         Ok(true) => 0,
--- a/crates/dewhead-lab/src/lib.rs
+++ b/crates/dewhead-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod policy;
 pub mod report;
 pub mod runs;
+pub mod scale;
 pub mod simulated;
 pub mod sockets;
 pub mod stats;
--- /dev/null
+++ b/crates/dewhead-lab/src/scale/hollow.rs
@@ -0,0 +1,412 @@
+//! Hollow proxies: the shipped control code, each over a connection of its own to discovery, with made-up clients and
+//! servers. Many share this process; what they cost is the processor time of its one thread inside their steps.
+
+use super::{memory, thread_time, Clock};
+use dewhead_proxy::reducer::{Effect, End, Event, How, Reducer};
+use dewhead_proxy::wire::http;
+use dewhead_startup::Startup;
+use dewhead_world::experiment::Experiment;
+use dewhead_world::settings::settings;
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Token};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{BufRead, Read, Write};
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, TryRecvError};
+use std::time::Duration;
+
+/// How often timers are looked at, in seconds.
+const LOOK: f64 = 0.01;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Spec {
+    pub proxies: usize,
+    /// The number of the first, and how many there are in all processes.
+    pub first: usize,
+    pub siblings: usize,
+    pub discovery: SocketAddr,
+    pub picks: f64,
+    pub standing: usize,
+}
+
+/// What a process has counted, since it was told to go where nothing else is said.
+#[derive(Clone, Default, Debug, Serialize, Deserialize)]
+pub struct Counts {
+    pub proxies: usize,
+    /// Bytes that came from discovery and processor time in steps that took them up to the first whole list, over all.
+    pub first_bytes: u64,
+    pub first_cpu: f64,
+    /// Bytes held: before any proxy, once all hold a list, and with their connections.
+    pub empty: f64,
+    pub listed: f64,
+    pub stand: f64,
+    pub calls: u64,
+    pub bytes: u64,
+    /// Processor time in steps that took up what discovery wrote, in ticks, and in all that calls need, in seconds.
+    pub watch_cpu: f64,
+    pub tick_cpu: f64,
+    pub pick_cpu: f64,
+    pub steps: u64,
+    pub picks: u64,
+    pub refused: u64,
+    pub seconds: f64,
+    /// By how much it came late to a look at its timers, at the most.
+    pub late: f64,
+    /// When the last proxy here held each version.
+    pub held: Vec<(u64, f64)>,
+    /// When the last of those that started anew held a list again, after they had.
+    pub again: f64,
+}
+
+/// The settings of hollow and real proxies alike.
+pub fn told(position: usize, siblings: usize) -> Result<Value, String> {
+    let mut of = Experiment::read("name = \"scale\"\nabout = \"hollow\"")?;
+    of.fleet.zones = vec!["a".into()];
+    of.fleet.proxies = siblings.max(1);
+    Ok(settings(&of, position))
+}
+
+struct Hollow {
+    reducer: Reducer,
+    position: usize,
+    link: Option<(TcpStream, Vec<u8>, bool)>,
+    admitted: Option<usize>,
+    /// Slots that stand, the oldest first, with a number of their own.
+    stands: VecDeque<(usize, u64)>,
+    alive: BTreeMap<usize, u64>,
+    next_pick: f64,
+    version: u64,
+    since: f64,
+}
+
+struct Process {
+    spec: Spec,
+    settings: Value,
+    poll: Poll,
+    hollows: Vec<Hollow>,
+    counts: Counts,
+    held: BTreeMap<u64, (usize, f64)>,
+    clock: Clock,
+    serial: u64,
+    open: String,
+}
+
+/// What a step was for.
+#[derive(Clone, Copy, PartialEq)]
+enum For {
+    Watch,
+    Tick,
+    Pick,
+}
+
+/// Runs until told to stop; `lines` are commands, and what is told goes to standard output.
+pub fn run(spec: Spec) -> Result<(), String> {
+    let (tell, told_lines) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lock().lines() {
+            let Ok(line) = line else { break };
+            if tell.send(line).is_err() {
+                break;
+            }
+        }
+    });
+    let settings = told(0, spec.siblings)?;
+    let name = |list: &str| settings[list][0]["name"].as_str().unwrap_or("").to_owned();
+    let open = format!("c={},t={},d=2000\r\n", name("trafficTypes"), name("tenants"));
+    let poll = Poll::new().map_err(|e| e.to_string())?;
+    let mut process = Process {
+        poll,
+        hollows: Vec::new(),
+        counts: Counts { proxies: spec.proxies, empty: memory(std::process::id()), ..Counts::default() },
+        held: BTreeMap::new(),
+        clock: Clock::default(),
+        serial: 0,
+        open,
+        settings,
+        spec,
+    };
+    process.play(&told_lines)
+}
+
+impl Process {
+    fn play(&mut self, lines: &Receiver<String>) -> Result<(), String> {
+        for at in 0..self.spec.proxies {
+            let hollow = self.make(at)?;
+            self.hollows.push(hollow);
+            self.apply(at, &[]);
+        }
+        let (mut ready, mut filled, mut go, mut looked) = (false, false, None::<f64>, self.clock.now());
+        let mut events = Events::with_capacity(1024);
+        loop {
+            let _ = self.poll.poll(&mut events, Some(Duration::from_secs_f64(LOOK)));
+            for event in events.iter() {
+                self.watched(event.token().0, event.is_writable());
+            }
+            let now = self.clock.now();
+            if go.is_some() {
+                self.counts.late = self.counts.late.max(now - looked - LOOK);
+            }
+            looked = now;
+            for at in 0..self.hollows.len() {
+                if self.hollows[at].reducer.next_due().is_some_and(|due| due <= now) {
+                    self.hollows[at].reducer.looked(now, 0.0);
+                    self.step(at, Event::Tick, For::Tick);
+                }
+                while go.is_some() && self.hollows[at].next_pick <= now {
+                    self.hollows[at].next_pick += 1.0 / self.spec.picks;
+                    self.pick(at);
+                }
+            }
+            if !ready && self.hollows.iter().all(|h| h.version > 0) {
+                ready = true;
+                self.counts.first_bytes = self.counts.bytes;
+                self.counts.first_cpu = self.counts.watch_cpu;
+                self.counts.listed = memory(std::process::id());
+                println!("{}", json!({"ready": self.hollows.len()}));
+            }
+            // A few at a time, so that what discovery writes is not waited for.
+            if ready && !filled {
+                filled = true;
+                for at in 0..self.hollows.len() {
+                    for _ in 0..20 {
+                        if self.hollows[at].alive.len() < self.spec.standing {
+                            self.call(at);
+                            filled = false;
+                        }
+                    }
+                }
+                if filled {
+                    self.counts.stand = memory(std::process::id());
+                    println!("{}", json!({"filled": true}));
+                }
+            }
+            match lines.try_recv() {
+                Ok(line) => match line.split_whitespace().collect::<Vec<_>>()[..] {
+                    ["go"] => {
+                        let kept = self.counts.clone();
+                        self.counts = Counts {
+                            proxies: kept.proxies,
+                            first_bytes: kept.first_bytes,
+                            first_cpu: kept.first_cpu,
+                            empty: kept.empty,
+                            listed: kept.listed,
+                            stand: kept.stand,
+                            ..Counts::default()
+                        };
+                        self.held.clear();
+                        go = Some(self.clock.now());
+                        self.schedule();
+                    }
+                    ["restart", part] => self.restart(part.parse().unwrap_or(1.0))?,
+                    ["stop"] => {
+                        let now = self.clock.now();
+                        self.counts.seconds = go.map_or(0.0, |at| now - at);
+                        let all = self.hollows.len();
+                        let whole = self.held.iter().filter(|(_, (count, _))| *count == all);
+                        self.counts.held = whole.map(|(version, (_, at))| (*version, *at)).collect();
+                        println!("{}", serde_json::to_string(&self.counts).map_err(|e| e.to_string())?);
+                        return Ok(());
+                    }
+                    _ => return Err(format!("'{line}' is no command")),
+                },
+                // Whoever started this has gone.
+                Err(TryRecvError::Disconnected) => return Ok(()),
+                Err(TryRecvError::Empty) => {}
+            }
+        }
+    }
+
+    fn make(&mut self, at: usize) -> Result<Hollow, String> {
+        let now = self.clock.now();
+        let position = self.spec.first + at;
+        self.settings["position"] = position.into();
+        let startup = Startup::read(&self.settings)?;
+        self.serial += 1;
+        let seed = u128::from(self.serial) << 32 | position as u128;
+        let most = 2 * self.spec.standing + 256;
+        let reducer = Reducer::new(now, startup, seed, self.spec.discovery, most, &Value::Null);
+        Ok(Hollow {
+            reducer,
+            position,
+            link: None,
+            admitted: None,
+            stands: VecDeque::new(),
+            alive: BTreeMap::new(),
+            next_pick: f64::INFINITY,
+            version: 0,
+            since: now,
+        })
+    }
+
+    /// Calls come evenly, at another moment at each proxy.
+    fn schedule(&mut self) {
+        let now = self.clock.now();
+        for hollow in &mut self.hollows {
+            let part = (hollow.position as f64 * 0.618_034).fract();
+            hollow.next_pick =
+                if self.spec.picks > 0.0 { now + part / self.spec.picks } else { f64::INFINITY };
+        }
+    }
+
+    fn restart(&mut self, part: f64) -> Result<(), String> {
+        for at in 0..((self.hollows.len() as f64 * part).ceil() as usize).min(self.hollows.len()) {
+            let hollow = self.make(at)?;
+            let next_pick = self.hollows[at].next_pick;
+            self.hollows[at] = Hollow { next_pick, ..hollow };
+            self.apply(at, &[]);
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, at: usize, event: Event, what: For) {
+        let bytes = match event {
+            Event::Bytes(_, bytes) => bytes.to_vec(),
+            _ => Vec::new(),
+        };
+        let now = self.clock.now();
+        let before = thread_time();
+        self.hollows[at].reducer.step(now, event);
+        let took = thread_time() - before;
+        self.counts.steps += 1;
+        match what {
+            For::Watch => self.counts.watch_cpu += took,
+            For::Tick => self.counts.tick_cpu += took,
+            For::Pick => self.counts.pick_cpu += took,
+        }
+        self.apply(at, &bytes);
+    }
+
+    fn apply(&mut self, at: usize, _bytes: &[u8]) {
+        let mut then: VecDeque<(Event<'static>, For)> = VecDeque::new();
+        for effect in self.hollows[at].reducer.effects() {
+            match effect {
+                Effect::Admit(slot) => self.hollows[at].admitted = Some(slot),
+                Effect::Dial(leg, _) => then.push_back((Event::Connected(leg), For::Pick)),
+                Effect::Head { leg, .. } => {
+                    then.push_back((Event::HeadWritten(leg), For::Pick));
+                    then.push_back((Event::Bytes(End::Server(leg), b"UP 1\r\n"), For::Pick));
+                }
+                Effect::Text(End::Client(slot), text) => {
+                    if text.starts_with(b"UP") {
+                        self.serial += 1;
+                        let hollow = &mut self.hollows[at];
+                        hollow.stands.push_back((slot, self.serial));
+                        hollow.alive.insert(slot, self.serial);
+                    } else if !text.starts_with(b"MOVE") {
+                        self.counts.refused += 1;
+                    }
+                }
+                Effect::Finish(end) => then.push_back((Event::Closed(end, How::Closed), For::Pick)),
+                Effect::Close(End::Client(slot), _) => drop(self.hollows[at].alive.remove(&slot)),
+                Effect::Follow(discovery, since) => self.follow(at, discovery, since),
+                Effect::Unfollow => self.hollows[at].link = None,
+                Effect::Close(End::Server(_), _)
+                | Effect::Pass(..)
+                | Effect::Text(..)
+                | Effect::Accepting(_)
+                | Effect::Exit => {}
+            }
+        }
+        for (event, what) in then {
+            self.step(at, event, what);
+        }
+    }
+
+    fn follow(&mut self, at: usize, discovery: SocketAddr, since: u64) {
+        self.counts.calls += 1;
+        self.hollows[at].link = None;
+        let opened = TcpStream::connect(discovery).and_then(|mut socket| {
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            self.poll.registry().register(&mut socket, Token(at), interest)?;
+            Ok(socket)
+        });
+        match opened {
+            Ok(socket) => {
+                let asks = http::follow(&discovery.to_string(), since);
+                self.hollows[at].link = Some((socket, asks, true));
+            }
+            Err(_) => self.step(at, Event::WatchLost, For::Watch),
+        }
+    }
+
+    fn watched(&mut self, at: usize, writable: bool) {
+        let Some((socket, asks, connecting)) = self.hollows.get_mut(at).and_then(|h| h.link.as_mut()) else {
+            return;
+        };
+        if *connecting {
+            if !writable {
+                return;
+            }
+            if !matches!(socket.take_error(), Ok(None))
+                || socket.peer_addr().is_err()
+                || socket.write_all(asks).is_err()
+            {
+                self.hollows[at].link = None;
+                return self.step(at, Event::WatchLost, For::Watch);
+            }
+            *connecting = false;
+            self.step(at, Event::WatchOpen, For::Watch);
+        }
+        let mut piece = [0; 8192];
+        loop {
+            let Some((socket, _, false)) = self.hollows[at].link.as_mut() else { return };
+            match socket.read(&mut piece) {
+                Ok(0) => {
+                    self.hollows[at].link = None;
+                    return self.step(at, Event::WatchLost, For::Watch);
+                }
+                Ok(n) => {
+                    self.counts.bytes += n as u64;
+                    self.step(at, Event::Watch(&piece[..n]), For::Watch);
+                    self.seen(at);
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(_) => {
+                    self.hollows[at].link = None;
+                    return self.step(at, Event::WatchLost, For::Watch);
+                }
+            }
+        }
+    }
+
+    /// Whether a newer version is held now.
+    fn seen(&mut self, at: usize) {
+        let now = self.clock.now();
+        let hollow = &mut self.hollows[at];
+        let version = hollow.reducer.list_version();
+        if version <= hollow.version {
+            return;
+        }
+        if hollow.version == 0 {
+            self.counts.again = self.counts.again.max(now - hollow.since);
+        }
+        for held in (hollow.version + 1).max(version.saturating_sub(100))..=version {
+            let (count, last) = self.held.entry(held).or_insert((0, now));
+            *count += 1;
+            *last = last.max(now);
+        }
+        hollow.version = version;
+    }
+
+    /// The oldest connection ends, where there are enough, and a new client calls.
+    fn pick(&mut self, at: usize) {
+        self.counts.picks += 1;
+        while self.hollows[at].alive.len() >= self.spec.standing.max(1) {
+            let Some((slot, serial)) = self.hollows[at].stands.pop_front() else { break };
+            if self.hollows[at].alive.get(&slot) == Some(&serial) {
+                self.step(at, Event::Closed(End::Client(slot), How::Closed), For::Pick);
+            }
+        }
+        self.call(at);
+    }
+
+    fn call(&mut self, at: usize) {
+        self.step(at, Event::Accepted, For::Pick);
+        let Some(slot) = self.hollows[at].admitted.take() else { return };
+        self.serial += 1;
+        let line = format!("OPEN {:016x} {:016x} {}", self.serial, self.serial, self.open);
+        self.step(at, Event::Bytes(End::Client(slot), line.as_bytes()), For::Pick);
+    }
+}
--- a/crates/dewhead-proxy/src/reducer/status.rs
+++ b/crates/dewhead-proxy/src/reducer/status.rs
@@ -20,6 +20,11 @@
 }
 
 impl Reducer {
+    /// The version of the list that is held; 0 for none yet.
+    pub fn list_version(&self) -> u64 {
+        self.watch.version
+    }
+
     /// Counts, and the list as it is held. Ages are seconds.
     pub fn status(&self, now: f64) -> Value {
         let mut stages: BTreeMap<&str, usize> = BTreeMap::new();
