--- /dev/null
+++ b/crates/dewhead-faults/src/plan.rs
@@ -0,0 +1,114 @@
+//! Which faults a process is to meet: parsed from its environment, written by whoever starts it.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// The environment variable that holds a [`Plan`].
+pub const VARIABLE: &str = "DEWHEAD_FAULTS";
+
+/// A step of the wall clock, as an administrator or a time service makes one. Monotonic clocks do not see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ClockStep {
+    /// Unix time from which on the clock is wrong, in seconds.
+    pub from: f64,
+    /// By how much, in seconds; negative for a step back.
+    pub by: f64,
+}
+
+/// The probability, from 0 to 1, with which each kind of call fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Seed of the random choices.
+    pub seed: u64,
+    /// Reads and writes on sockets that transfer less than they could.
+    pub short: f64,
+    /// Reads, writes and waits that end with `EINTR`.
+    pub interrupt: f64,
+    /// `accept` fails for a moment.
+    pub accept: f64,
+    /// `socket` fails for a moment.
+    pub socket: f64,
+    /// `connect` fails for a moment.
+    pub connect: f64,
+    /// Opening a file for reading fails with `EIO`.
+    pub open: f64,
+    /// The wall clock's step; none where `by` is 0.
+    pub step: ClockStep,
+}
+
+/// What is wrong with a written plan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlanError {
+    /// An entry is not of the form `name=number`.
+    Malformed(String),
+    /// There is no fault of this name.
+    UnknownName(String),
+    /// A probability lies outside 0 to 1.
+    OutOfRange(String),
+}
+
+impl fmt::Display for PlanError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PlanError::Malformed(entry) => write!(f, "'{entry}' is not of the form name=number"),
+            PlanError::UnknownName(name) => write!(f, "there is no fault '{name}'"),
+            PlanError::OutOfRange(name) => write!(f, "'{name}' takes a probability from 0 to 1"),
+        }
+    }
+}
+
+impl std::error::Error for PlanError {}
+
+impl FromStr for Plan {
+    type Err = PlanError;
+
+    /// Reads `name=number` entries separated by commas; names are those of the fields, `step_from` and `step_by`.
+    fn from_str(text: &str) -> Result<Plan, PlanError> {
+        let mut plan = Plan::default();
+        for entry in text.split(',').filter(|entry| !entry.is_empty()) {
+            let malformed = || PlanError::Malformed(entry.to_owned());
+            let (name, value) = entry.split_once('=').ok_or_else(malformed)?;
+            if name == "seed" {
+                plan.seed = value.parse().map_err(|_| malformed())?;
+                continue;
+            }
+            let number: f64 = value.parse().map_err(|_| malformed())?;
+            match name {
+                "step_from" => plan.step.from = number,
+                "step_by" => plan.step.by = number,
+                _ => {
+                    let probability =
+                        plan.probability(name).ok_or_else(|| PlanError::UnknownName(name.to_owned()))?;
+                    if !(0.0..=1.0).contains(&number) {
+                        return Err(PlanError::OutOfRange(name.to_owned()));
+                    }
+                    *probability = number;
+                }
+            }
+        }
+        Ok(plan)
+    }
+}
+
+impl fmt::Display for Plan {
+    /// In the form that `from_str` reads.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "seed={},short={},interrupt={}", self.seed, self.short, self.interrupt)?;
+        write!(f, ",accept={},socket={},connect={}", self.accept, self.socket, self.connect)?;
+        write!(f, ",open={},step_from={},step_by={}", self.open, self.step.from, self.step.by)
+    }
+}
+
+impl Plan {
+    fn probability(&mut self, name: &str) -> Option<&mut f64> {
+        match name {
+            "short" => Some(&mut self.short),
+            "interrupt" => Some(&mut self.interrupt),
+            "accept" => Some(&mut self.accept),
+            "socket" => Some(&mut self.socket),
+            "connect" => Some(&mut self.connect),
+            "open" => Some(&mut self.open),
+            _ => None,
+        }
+    }
+}
--- a/crates/dewhead-lab/src/commands/demo.rs
+++ b/crates/dewhead-lab/src/commands/demo.rs
@@ -126,7 +126,7 @@
         let proxy = self.proxy.clone().map_or_else(sockets::beside, Ok)?;
         let began = Instant::now();
         let who = proxy.display().to_string();
-        let programs = Programs { proxy, logs: self.logs.clone() };
+        let programs = Programs { proxy, logs: self.logs.clone(), faults: None };
         let mut host = Sockets::new(&shown(self.seconds)?, 1, programs)?;
         let mut view = View::new(&host.world);
         host.run(self.seconds, |world, now| view.show(world, now))?;
--- a/crates/dewhead-lab/src/commands/run.rs
+++ b/crates/dewhead-lab/src/commands/run.rs
@@ -2,8 +2,9 @@
 
 use crate::runs::{self, Played, Task};
 use crate::simulated::Who;
-use crate::sockets::{self, Programs};
+use crate::sockets::{self, FaultInjection, Programs};
 use argh::FromArgs;
+use dewhead_faults::plan::Plan;
 use std::path::PathBuf;
 
 /// Play an experiment; exit code 2 where a rule was broken.
@@ -28,6 +29,10 @@
     /// on sockets: a folder for the proxies' logs
     #[argh(option)]
     logs: Option<PathBuf>,
+    /// on sockets: system calls that fail in the proxies' processes, as short=0.3,interrupt=0.05,accept=0.05,socket=0.02,
+    /// connect=0.05,open=0.2,step_from=15,step_by=3600,seed=1; probabilities, and seconds from the start
+    #[argh(option)]
+    faults: Option<Plan>,
     /// where to write the runs as JSON lines
     #[argh(option)]
     out: Option<PathBuf>,
@@ -80,8 +85,12 @@
         if let Some(dir) = &self.logs {
             std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
         }
+        let inject = |plan: &Plan| {
+            Ok::<_, String>(FaultInjection { library: sockets::faults_library()?, plan: *plan })
+        };
+        let faults = self.faults.as_ref().map(inject).transpose()?;
         let one = |task: &Task| {
-            let programs = Programs { proxy: proxy.clone(), logs: self.logs.clone() };
+            let programs = Programs { proxy: proxy.clone(), logs: self.logs.clone(), faults: faults.clone() };
             let played = sockets::play(&task.of, &task.point, task.seed, programs)?;
             if played.late {
                 eprintln!(
--- a/crates/dewhead-lab/src/sockets.rs
+++ b/crates/dewhead-lab/src/sockets.rs
@@ -3,6 +3,7 @@
 //! time; what differs is the proxies' side, which is the kernel's and theirs.
 
 use crate::runs::Played;
+use dewhead_faults::plan::{self, Plan};
 use dewhead_world::experiment::Experiment;
 use dewhead_world::nodes::State;
 use dewhead_world::settings::configuration;
@@ -75,6 +76,17 @@
     pub proxy: PathBuf,
     /// Where processes' logs go; nowhere if not told.
     pub logs: Option<PathBuf>,
+    /// System calls that fail in the proxies' processes; none if not told.
+    pub faults: Option<FaultInjection>,
+}
+
+/// Faults that the proxies' processes meet.
+#[derive(Clone, Debug)]
+pub struct FaultInjection {
+    /// The library that is loaded into each process.
+    pub library: PathBuf,
+    /// What fails. The clock step's `from` counts from the run's start here.
+    pub plan: Plan,
 }
 
 pub struct Sockets {
@@ -168,7 +180,12 @@
         host.world.address_nodes(|p, n| places[p][n].to_string());
         host.began = Instant::now();
         let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| told("the clock", e))?;
-        host.world.begins_at(epoch.as_secs_f64());
+        let epoch = epoch.as_secs_f64();
+        host.world.begins_at(epoch);
+        if let Some(faults) = &mut host.programs.faults {
+            host.world.steps_clock(faults.plan.step.from, faults.plan.step.by);
+            faults.plan.step.from += epoch;
+        }
         Ok(host)
     }
 
@@ -363,10 +380,12 @@
             }
             None => Stdio::null(),
         };
-        Command::new(&self.programs.proxy)
-            .args(["serve", "--config"])
-            .arg(config)
-            .args(more)
+        let mut command = Command::new(&self.programs.proxy);
+        command.args(["serve", "--config"]).arg(config).args(more);
+        if let Some(faults) = &self.programs.faults {
+            command.env("LD_PRELOAD", &faults.library).env(plan::VARIABLE, faults.plan.to_string());
+        }
+        command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -635,14 +654,24 @@
 
 /// The proxy's binary that lies beside this program's.
 pub fn beside() -> Result<PathBuf, String> {
+    built("dewhead").map_err(|fault| format!("{fault}: build it, or name one with --proxy"))
+}
+
+/// The fault injection library that lies beside this program.
+pub fn faults_library() -> Result<PathBuf, String> {
+    built("libdewhead_faults_preload.so").map_err(|fault| format!("{fault}: build dewhead-faults-preload"))
+}
+
+/// What was built with this name, beside this program.
+fn built(name: &str) -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|e| told("this program's place", e))?;
-    let beside = own.with_file_name("dewhead");
+    let beside = own.with_file_name(name);
     if beside.is_file() {
         return Ok(beside);
     }
     // Tests' programs lie a folder deeper.
-    let above = own.parent().and_then(Path::parent).map(|dir| dir.join("dewhead")).filter(|p| p.is_file());
-    above.ok_or_else(|| format!("there is no {}: build it, or name one with --proxy", beside.display()))
+    let above = own.parent().and_then(Path::parent).map(|dir| dir.join(name)).filter(|p| p.is_file());
+    above.ok_or_else(|| format!("there is no {}", beside.display()))
 }
 
 /// Plays one run on sockets.
--- a/crates/dewhead-lab/tests/sockets.rs
+++ b/crates/dewhead-lab/tests/sockets.rs
@@ -65,7 +65,7 @@
 #[test]
 fn the_rules_are_kept_on_sockets_and_nothing_is_left_over() {
     let of = Experiment::read(ROUGH).expect("it is sound");
-    let programs = Programs { proxy: proxy(), logs: None };
+    let programs = Programs { proxy: proxy(), logs: None, faults: None };
     let mut host = Sockets::new(&of, 1, programs).expect("it starts");
     host.run(of.seconds, |_, _| {}).expect("it plays");
     let counts = host.world.service.counts.clone();
--- a/crates/dewhead-world/src/discovery.rs
+++ b/crates/dewhead-world/src/discovery.rs
@@ -57,6 +57,8 @@
     zones: Vec<String>,
     /// Unix time at the start.
     pub epoch: f64,
+    /// The wall clock's step: from when on, in seconds from the start, and by how many seconds.
+    clock_step: (f64, f64),
     /// By proxy and node: where that proxy reaches that node.
     pub addresses: Vec<Vec<String>>,
 }
@@ -102,10 +104,17 @@
                 .collect(),
             zones: of.fleet.zones.clone(),
             epoch: EPOCH,
+            clock_step: (f64::INFINITY, 0.0),
             addresses: vec![vec![String::new(); nodes.len()]; proxies],
         }
     }
 
+    /// What all machines' wall clocks show at this second of the experiment.
+    fn wall_clock(&self, at: f64) -> f64 {
+        let (from, by) = self.clock_step;
+        self.epoch + at + if at >= from { by } else { 0.0 }
+    }
+
     fn listing(&self, agent: usize, whole: bool, since: u64) -> Value {
         let agent_number = agent;
         let agent = &self.agents[agent];
@@ -121,7 +130,7 @@
                     Health::Draining => "draining",
                     Health::Gone => "gone",
                 };
-                let born = if e.started.is_finite() { ((self.epoch + e.started) * 1e3).round() } else { 0.0 };
+                let born = if e.started.is_finite() { (self.wall_clock(e.started) * 1e3).round() } else { 0.0 };
                 json!({"host": name, "dial": self.addresses[agent_number][n], "site": self.zones[*zone], "class": "node",
                        "block": cell, "health": health, "share": share, "born_ms": born as u64})
             })
@@ -283,6 +292,11 @@
         self.discovery.epoch = epoch;
     }
 
+    /// From this second on all machines' wall clocks are wrong by so many seconds.
+    pub fn steps_clock(&mut self, from: f64, by: f64) {
+        self.discovery.clock_step = (from, by);
+    }
+
     /// Tells where each proxy reaches each node; hosts choose the addresses.
     pub fn address_nodes(&mut self, address: impl Fn(usize, usize) -> String) {
         for (p, row) in self.discovery.addresses.iter_mut().enumerate() {
