A short write is followed by another at once: lines no longer lie in the proxy

Cause: Link::write called writev once and kept the rest; sockets are registered edge-triggered, and Linux tells that one can be written to again only where a write found it full. The rest went out with the next edge, a line of the client two seconds later. Ruled out: Link::flush, watch, control socket and the lab's own sockets write until the socket is full.

Change: write_parts goes on until all is taken or the socket is full.

--- a/crates/dewhead-proxy/src/memory/links.rs
+++ b/crates/dewhead-proxy/src/memory/links.rs
@@ -4,6 +4,9 @@
 use std::io::{self, IoSlice, Write};
 use std::net::Shutdown;
 
+/// A head goes out in three parts: what comes before the waiting time, the time, and the rest.
+const MOST_PARTS: usize = 3;
+
 pub struct Link {
     pub socket: TcpStream,
     /// Bytes that wait, and how many of them are gone already.
@@ -39,22 +42,12 @@
         self.waiting.is_empty()
     }
 
-    /// Writes the parts in one go; what the socket does not take waits.
+    /// Writes the parts until the socket takes no more; the rest waits. Nothing tells that a socket can be written to
+    /// again unless a write found it full, so that a short write alone is no reason to stop.
     pub fn write(&mut self, parts: &[&[u8]]) -> io::Result<()> {
         let mut taken = 0;
         if self.is_clear() && !self.connecting {
-            let mut slices = [IoSlice::new(&[]), IoSlice::new(&[]), IoSlice::new(&[])];
-            for (slice, part) in slices.iter_mut().zip(parts) {
-                *slice = IoSlice::new(part);
-            }
-            taken = loop {
-                match self.socket.write_vectored(&slices[..parts.len().min(slices.len())]) {
-                    Ok(taken) => break taken,
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break 0,
-                    Err(e) => return Err(e),
-                }
-            };
+            taken = write_parts(&mut self.socket, parts)?;
         }
         for part in parts {
             let skip = taken.min(part.len());
@@ -99,3 +92,34 @@
         let _ = socket2::SockRef::from(&self.socket).set_linger(Some(std::time::Duration::ZERO));
     }
 }
+
+/// Writes the parts in order, as few calls as the socket allows; returns how many bytes it took before it was full.
+///
+/// # Errors
+///
+/// The socket's own, but for `Interrupted` and `WouldBlock`; `WriteZero` where it takes nothing and says no error.
+pub fn write_parts(to: &mut impl Write, parts: &[&[u8]]) -> io::Result<usize> {
+    let total: usize = parts.iter().map(|part| part.len()).sum();
+    let mut taken = 0;
+    while taken < total {
+        match to.write_vectored(&remaining(parts, taken)) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(more) => taken += more,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(taken)
+}
+
+/// What is left of the parts after their first `taken` bytes. A message has `MOST_PARTS` of them at the most.
+fn remaining<'a>(parts: &[&'a [u8]], mut taken: usize) -> [IoSlice<'a>; MOST_PARTS] {
+    let mut slices = [IoSlice::new(&[]); MOST_PARTS];
+    for (slice, part) in slices.iter_mut().zip(parts) {
+        let skip = taken.min(part.len());
+        taken -= skip;
+        *slice = IoSlice::new(&part[skip..]);
+    }
+    slices
+}
