Why a call gets no further attempt is told by name; a test that fails: cut to nothing for ever

The decisions say why they gave a call up (crates/dewhead/src/refusal.rs), and the proxy logs it with the request's id.

Reading on: Server::cut sets the limit to a part of the own load, so that BUSY from a server with nothing of ours, or the break of the only connection there, sets it to nothing, and nothing times any growth is nothing: that server is never used again, and counts as closed for its location.

The test shows both ways: refused a minute later.

--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -376,6 +376,11 @@
                         self.answer(now, key, answers::FAILED.to_vec());
                     }
                 }
+                Asked::Refused(call, why) => {
+                    if let Some(key) = self.session_of(call) {
+                        debug!("{}: no further attempt: {why}", self.sessions[key].who());
+                    }
+                }
                 Asked::Withdraw(call, number) => {
                     let legs = self.session_of(call).map(|key| &self.sessions[key].legs);
                     let leg =
--- a/crates/dewhead-proxy/src/reducer/door.rs
+++ b/crates/dewhead-proxy/src/reducer/door.rs
@@ -1,6 +1,7 @@
 //! The door between the balancer and the reducer: what is asked for waits here until the step goes on.
 
 use dewhead::outward::Outward;
+use dewhead::refusal::Refusal;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 
@@ -8,6 +9,7 @@
     Send(u64, u64, f64),
     Reject(u64, Option<f64>),
     Release(u64),
+    Refused(u64, Refusal),
     Withdraw(u64, u32),
     Relocate(u64),
     WakeCall(u64, f64),
@@ -37,6 +39,9 @@
     fn release(&self, call: u64) {
         self.ask(Asked::Release(call));
     }
+    fn refused(&self, call: u64, why: Refusal) {
+        self.ask(Asked::Refused(call, why));
+    }
     fn withdraw(&self, call: u64, leg: u32) {
         self.ask(Asked::Withdraw(call, leg));
     }
--- a/crates/dewhead/src/lib.rs
+++ b/crates/dewhead/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod learned;
 pub mod outward;
+pub mod refusal;
 pub mod rules;
 pub mod state;
 pub mod terms;
--- a/crates/dewhead/src/outward.rs
+++ b/crates/dewhead/src/outward.rs
@@ -1,5 +1,7 @@
 //! What a balancer asks of whatever hosts it. Ids are used here, at the door, and nowhere behind it.
 
+use crate::refusal::Refusal;
+
 pub trait Outward {
     /// Start a leg of a call; `limit` is its time-out in seconds.
     fn send(&self, call: u64, server: u64, limit: f64);
@@ -7,6 +9,8 @@
     fn reject(&self, call: u64, stay_away: Option<f64>);
     /// Final answer: released, with no promise about its effect.
     fn release(&self, call: u64);
+    /// Why the answer that comes next, rejected or released, says no. Hosts that keep no counters pass it over.
+    fn refused(&self, _call: u64, _why: Refusal) {}
     /// Stop waiting for one leg.
     fn withdraw(&self, call: u64, leg: u32);
     /// End a standing connection politely; its client comes again.
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -5,6 +5,7 @@
 //! then tell it what happens. `take` gives a handle to the call, and all that happens to the call later is a
 //! method of that handle. Every method takes the clock; the module has none, and no I/O. Words: `terms.rs`.
 
+use crate::refusal::{Refusal, Skipped};
 use crate::state::{Balancer, Call, Health, Leg, Location, Place, Server, Shares, Stage, Thaw, Watch};
 use crate::terms::{Effect, Ending, Group, Listed, News, State, TrafficType, Wanted};
 use oorandom::Rand64;
@@ -296,9 +297,7 @@
     /// A call has come in. The handle is all that its events need.
     pub fn take(&self, now: f64, id: u64, wanted: Wanted) -> Rc<Call> {
         let call = self.handle(now, id, wanted);
-        if !call.next_leg(now) {
-            call.give_up(now);
-        }
+        call.next_leg_or_give_up(now);
         call
     }
 
@@ -347,6 +346,12 @@
     /// Eq. 1 over the servers that may be sent to now: the most R_i less own predicted load, ties at random.
     /// `price` is the part of the price of crossing that counts.
     fn pick(&self, now: f64, call: &Call, price: f64) -> Option<Rc<Server>> {
+        self.select(now, call, price).ok()
+    }
+
+    /// As `pick`; where there is no server, the reason that most of them were passed over for.
+    fn select(&self, now: f64, call: &Call, price: f64) -> Result<Rc<Server>, Refusal> {
+        let mut skipped = Skipped::default();
         let servers = self.servers.borrow();
         let (memory, total) = (self.memory(), self.load.get() as f64);
         // Incident iadd0bb: summed up apart, without a branch, the servers come into the cache many at a
@@ -393,7 +398,11 @@
         // When most look sick, the fault may be on our own side, and they are as good as any.
         let suspect_own_side = self.sick_share.get() > 0.5;
         for server in servers.iter() {
-            if server.state.get() != State::Ready || !call.allows(now, server) {
+            if server.state.get() != State::Ready {
+                continue;
+            }
+            if !call.allows(now, server) {
+                skipped.count(Refusal::RepeatForbidden);
                 continue;
             }
             let (weight, age) = (self.size(server), now - server.started.get());
@@ -414,6 +423,7 @@
             }
             let unknown = load == 0.0 && limit.is_infinite() && age >= 3.0 * self.thaw.warm_after;
             if closed || (unknown && server.rounding < location.closed.get()) {
+                skipped.count(if closed { Refusal::AtLimit } else { Refusal::Unknown });
                 continue;
             }
             // Crossing costs a mean part at the least, and no less than the server's own: the largest abroad
@@ -435,6 +445,7 @@
             if best.as_ref().is_none_or(|(most, _)| left >= *most) {
                 let cold = age < self.thaw.warm_after || filling;
                 if cold && !self.within_budget(now, server, age) {
+                    skipped.count(Refusal::SlowStart);
                     continue;
                 }
                 let price = self.group_price(call, server, mean, part * weight * count / ready);
@@ -442,6 +453,7 @@
                 // a cold server with budget left: it is known to have room, and few calls find it.
                 let parts = (SPILL * (1.0 - location.closed.get())).max(1.0);
                 if !cold && price > (BASE + parts) * mean {
+                    skipped.count(Refusal::GroupSpread);
                     continue;
                 }
                 left -= price;
@@ -449,12 +461,14 @@
             let rested = now - server.health.judged_at.get().max(server.tried_at.get()) > self.longest_guard;
             if server.health.sick(now, memory, 2) && !rested {
                 sick += weight;
+                skipped.count(Refusal::Unhealthy);
                 if suspect_own_side {
                     second = second.filter(|(most, _)| left <= *most).or(Some((left, server)));
                 }
                 continue;
             }
             if legs.iter().any(|l| Rc::ptr_eq(&l.server, server)) {
+                skipped.count(Refusal::Unhealthy);
                 second = second.filter(|(most, _)| left <= *most).or(Some((left, server)));
                 continue;
             }
@@ -474,7 +488,7 @@
             self.reported.set(reported.0 / reported.1);
         }
         self.sick_share.set(sick / ready.max(f64::MIN_POSITIVE));
-        best.or(second).map(|(_, server)| server.clone())
+        best.or(second).map(|(_, server)| server.clone()).ok_or_else(|| skipped.main_reason())
     }
 
     /// The part of this balancer's connections that a call's group is; one server's at the least.
@@ -626,18 +640,30 @@
         }
     }
 
-    /// Sends a further leg, if there is one to send, time for it and a server.
-    fn next_leg(self: &Rc<Self>, now: f64) -> bool {
+    fn next_leg_or_give_up(self: &Rc<Self>, now: f64) {
+        if let Err(why) = self.next_leg(now) {
+            self.give_up(now, why);
+        }
+    }
+
+    /// Sends a further leg, if there is one to send, time for it and a server; else says what there is not.
+    fn next_leg(self: &Rc<Self>, now: f64) -> Result<(), Refusal> {
         let balancer = &self.balancer;
         let sent = self.legs.borrow().len() as u32;
         let guard = self.until.get() - now;
+        if sent >= balancer.legs.most {
+            return Err(Refusal::AttemptsSpent);
+        }
+        if guard <= 0.0 {
+            return Err(Refusal::TimeOver);
+        }
         // In a shared fault another leg only adds to what makes them fail.
-        if sent >= balancer.legs.most || guard <= 0.0 || (sent > 0 && balancer.shared_fault(now)) {
-            return false;
+        if sent > 0 && balancer.shared_fault(now) {
+            return Err(Refusal::SharedFault);
         }
-        let Some(server) = balancer.pick(now, self, 1.0) else { return false };
+        let server = balancer.select(now, self, 1.0)?;
         if sent == 0 && self.probe(now, &server) {
-            return true;
+            return Ok(());
         }
         let TrafficType { effect, setup_target, .. } = balancer.traffic[self.wanted.traffic];
         let target = self.taken_at + setup_target - now;
@@ -657,7 +683,7 @@
         }
         balancer.count_sent(now, &server, self.rate.get());
         self.place(now, server);
-        true
+        Ok(())
     }
 
     /// Waits for what the server tells of its load, once a call, where that is not known and there is time.
@@ -690,9 +716,7 @@
     fn go_on(self: &Rc<Self>, now: f64) {
         if self.probe.replace(Some(false)) == Some(true) && self.stage.get() == Stage::Waiting {
             self.due.set(f64::INFINITY);
-            if !self.next_leg(now) {
-                self.give_up(now);
-            }
+            self.next_leg_or_give_up(now);
         }
     }
 
@@ -739,11 +763,12 @@
         Some(server)
     }
 
-    fn give_up(&self, now: f64) {
+    fn give_up(&self, now: f64, why: Refusal) {
         if self.stage.replace(Stage::Answered) == Stage::Answered {
             return;
         }
         self.balancer.refused_at.set(now);
+        self.balancer.door.refused(self.id, why);
         if self.may_reject() {
             self.balancer.door.reject(self.id, self.balancer.legs.stay_away);
         } else {
@@ -848,9 +873,7 @@
             self.stage.set(Stage::Answered);
         } else if self.stage.get() == Stage::Waiting && !self.legs.borrow().iter().any(|l| l.out) {
             // Held back, a call that no leg can serve would only keep its client from trying elsewhere.
-            if !self.next_leg(now) {
-                self.give_up(now);
-            }
+            self.next_leg_or_give_up(now);
         }
     }
 
@@ -872,7 +895,8 @@
         let one_out = self.legs.borrow().iter().filter(|l| l.out).count() == 1;
         let more = (self.legs.borrow().len() as u32) < self.balancer.legs.most;
         if self.stage.get() == Stage::Waiting && one_out && more {
-            self.next_leg(now);
+            // A first leg is out still, and goes on where there is no second.
+            let _ = self.next_leg(now);
         }
     }
 }
--- a/crates/dewhead/tests/rules.rs
+++ b/crates/dewhead/tests/rules.rs
@@ -826,3 +826,25 @@
     // 32 placements of each over four servers are 320 for one; by the two that it holds it would get 81.
     assert!((160..=320).contains(&sent), "{sent} connections of 40 balancers over the warm-up");
 }
+
+/// A server that says `BUSY` while nothing of ours stands there, or breaks the only connection that does, is tried again
+/// once its limit has had time to grow back. Its limit was set to nothing, and nothing times any factor is nothing.
+#[test]
+fn a_server_that_is_cut_to_nothing_is_tried_again() {
+    let turned_away = |stand: &mut Stand| {
+        let id = stand.take(0, None, None);
+        stand.end(id, 0, Ending::Full);
+    };
+    let broken = |stand: &mut Stand| {
+        let (id, _) = stand.standing(0.1);
+        stand.end(id, 0, Ending::Broken);
+    };
+    for (how, cut) in [("full", &turned_away as &dyn Fn(&mut Stand)), ("broken", &broken)] {
+        let mut stand = Stand::plain();
+        stand.list(News::Whole, &[server(1, 0, 1.0)]);
+        cut(&mut stand);
+        stand.watcher.now.set(stand.now() + 60.0);
+        let id = stand.take(0, None, None);
+        assert_eq!(stand.at(id), Some(1), "{how}: refused a minute later");
+    }
+}
