A server cut to nothing is tried again once an outcome no longer counts

Cause: Server::cut took a part of the own load for the limit; with nothing of ours there (BUSY), or with the only connection broken, that is 0, and limit() multiplies. Such a server was closed to that proxy until it started anew, and counted as closed for its location, so that servers without a connection were passed over as unknown too. With one or two connections a server (300 proxies) each proxy shut itself out step by step; a lone server that says BUSY once was never asked again.

Change: the least limit is what grows back to one mean connection while an outcome counts (e^-(MEMORY/REGROWN)^2).

--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -51,6 +51,8 @@
 const KNOWN: f64 = 0.5;
 /// A call waits for a probe's answer this part of its setup target.
 const HEARD: f64 = 0.125;
+/// An outcome counts, and a lost trust lasts, for this many of the longest guard times.
+const MEMORY: f64 = 4.0;
 /// A limit grows back by an e-fold in this many of the longest guard times.
 const REGROWN: f64 = 3.0;
 /// A group spills over to servers that rank this many parts of it down, and fewer as servers close.
@@ -154,7 +156,9 @@
     fn cut(&self, now: f64, part: f64, growth: f64, mean: f64) {
         let (load, carried) = (self.load.get() as f64, self.carried.get());
         let most = if load + 2.0 * mean < 0.7 * carried { 0.9 * carried } else { load * part };
-        self.limit.set(self.limit(now, growth).min(most));
+        // A limit of nothing would never grow back: the least grows to one mean connection while an outcome counts.
+        let least = mean * (-(MEMORY / REGROWN).powi(2)).exp();
+        self.limit.set(self.limit(now, growth).min(most.max(least)));
         self.carried.set(self.limit.get());
         self.cut_at.set(now);
     }
@@ -194,7 +198,7 @@
 
     /// How long an outcome counts, and a lost trust lasts: a few of the longest waits a client accepts.
     fn memory(&self) -> f64 {
-        4.0 * self.longest_guard
+        MEMORY * self.longest_guard
     }
 
     pub fn woken(&self, now: f64) {
