A stop during a hand-over, a request behind PING, a request before the list: each keeps its due

Its own mark 'stops' guards it now, and answers are due by the earlier of the two times. - greet() closed the connection at PING where it does not serve. It goes on with what came behind, and closes only where nothing did. - a whole line read while the list is not confirmed leaves the loiterers, whom make_room closes; one that was PING joins them again. Ruled out: a drain before a stop (its times are replaced), undrain during a stop (refused), PING alone (closed, as before).

--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -176,6 +176,8 @@
     stopping: Option<f64>,
     spread: f64,
     ends: bool,
+    /// Whether a signal has asked for the end; a hand-over alone leaves more time.
+    stops: bool,
     /// At a stop: by when whoever waits has its answer.
     answered_by: Option<f64>,
     time_is_up: bool,
@@ -227,6 +229,7 @@
             stopping: None,
             spread: 0.0,
             ends: false,
+            stops: false,
             answered_by: None,
             time_is_up: false,
             looked_at: f64::INFINITY,
--- a/crates/dewhead-proxy/src/reducer/clients.rs
+++ b/crates/dewhead-proxy/src/reducer/clients.rs
@@ -139,6 +139,10 @@
 
     pub(super) fn greet(&mut self, now: f64, key: usize) {
         if self.unconfirmed {
+            if matches!(first(&self.sessions[key].head), Ok(Some(_))) {
+                // It waits for us, and must not give up its descriptor as one that we wait for.
+                self.loiter_no_more(key);
+            }
             return;
         }
         let session = &mut self.sessions[key];
@@ -153,13 +157,17 @@
                 session.pings += 1;
                 session.head.drain(..end);
                 let more = !session.head.is_empty();
-                // Only once it can serve, and no longer when it stops.
-                if self.servers.0.is_empty() || self.stopping.is_some() {
-                    return self.answer(now, key, Vec::new());
+                // Only once it can serve, and no longer when it stops. What came behind it has its answer all the same.
+                let serves = !self.servers.0.is_empty() && self.stopping.is_none();
+                if serves {
+                    self.effects.push(Effect::Text(End::Client(key), answers::PONG.to_vec()));
                 }
-                self.effects.push(Effect::Text(End::Client(key), answers::PONG.to_vec()));
                 if more {
                     self.greet(now, key);
+                } else if !serves {
+                    self.answer(now, key, Vec::new());
+                } else if self.sessions[key].loiters.is_none() {
+                    self.loiter(now, key);
                 }
             }
             // The id of another client's open request: a server would take it for a second copy of that one.
--- a/crates/dewhead-proxy/src/reducer/stopping.rs
+++ b/crates/dewhead-proxy/src/reducer/stopping.rs
@@ -14,11 +14,13 @@
 const ENDED: f64 = 0.6;
 
 impl Reducer {
+    /// Told by a signal to end. During a hand-over the signal's times hold from then on: whoever sent it waits no longer.
     pub(super) fn stop(&mut self, now: f64) {
-        if self.ends {
+        if self.stops {
             return;
         }
         info!("stopping: {} sessions are open", self.sessions.len());
+        self.stops = true;
         self.ends = true;
         self.spread = self.usual_spread();
         self.send_all_away(now);
@@ -31,7 +33,8 @@
         self.timers.set(now + STILL_COMING, Due::Empty);
         self.timers.set(now + seconds + LAST_WORD, Due::LastWord);
         self.timers.set(now + seconds + ENDED, Due::Exit);
-        self.answered_by = Some(now + seconds + ANSWERED);
+        let by = now + seconds + ANSWERED;
+        self.answered_by = Some(self.answered_by.map_or(by, |earlier| earlier.min(by)));
         let keys: Vec<usize> = self.sessions.iter().map(|(key, _)| key).collect();
         keys.into_iter().for_each(|key| self.hurry(now, key));
     }
