Failing tests: a stepped wall clock, sockets not to be had for a moment, a half-written configuration

Each on a real process with the preloaded library, or its file written in halves; seen on this text: - clock set forward by an hour: a server started 0.5 s ago is taken to be started -3599.5 s ago (cold for an hour; set back, warm at once, which is rule 4).

--- /dev/null
+++ b/crates/dewhead-proxy/tests/clock.rs
@@ -0,0 +1,58 @@
+//! The wall clock is set forward or back by an hour while a proxy runs; all machines read the same one.
+
+mod common;
+
+use common::loopback::{entry, faults, Place, Proxy};
+use common::{list, settings};
+use dewhead_faults::plan::{ClockStep, Plan};
+use serde_json::json;
+use std::io::Write;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const HOUR: f64 = 3600.0;
+/// By when after its start the proxy serves.
+const STEP_AFTER: f64 = 1.0;
+
+/// The machine's clock, which no step has changed.
+fn true_time() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("it is past 1970").as_secs_f64()
+}
+
+/// How old the proxy takes a server to be that started half a second ago by its own, wrong, clock.
+fn age_told(by: f64, started_after_the_step: bool) -> String {
+    let (server, discovery) = (Place::new(), Place::new());
+    let from = true_time() + STEP_AFTER;
+    let plan = Plan { step: ClockStep { from, by }, ..Plan::default() };
+    let known = vec![entry("s-1", server.at, "ready")];
+    let mut proxy = Proxy::start_with(&settings(), discovery.at, known.clone(), &faults(&plan));
+    let mut watch = discovery.watch(2, true, known);
+    while true_time() < from + if started_after_the_step { 0.6 } else { 0.1 } {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let started = true_time() - 0.5;
+    let shown = if started >= from { started + by } else { started };
+    let mut fresh = entry("s-2", server.at, "ready");
+    fresh["born_ms"] = json!((shown * 1e3).round());
+    writeln!(watch, "{}", list(3, false, vec![fresh])).expect("the watch is open");
+    loop {
+        let line = common::loopback::line(&mut proxy.log);
+        if let Some((_, age)) =
+            line.split_once("weight 1, started ").filter(|(_, age)| !age.starts_with("inf"))
+        {
+            return age.trim_end().to_owned();
+        }
+    }
+}
+
+/// Warm by mistake, a server that has just started is sent more than rule 4 allows; cold by mistake, it is spared for an hour.
+#[test]
+fn the_age_of_a_server_does_not_follow_a_step_of_the_wall_clock() {
+    for by in [HOUR, -HOUR] {
+        for after in [true, false] {
+            let age = age_told(by, after);
+            let sound =
+                ["0.5 s ago", "0.6 s ago", "0.7 s ago", "0.8 s ago", "0.9 s ago"].contains(&age.as_str());
+            assert!(sound, "clock stepped by {by} s, started after it: {after}: taken to be started {age}");
+        }
+    }
+}
--- a/crates/dewhead-proxy/tests/common/loopback.rs
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -2,12 +2,13 @@
 //! to have come before the next is done.
 
 use super::{list, ZONES};
+use dewhead_faults::plan::{self, Plan};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -58,6 +59,16 @@
 impl Proxy {
     /// Started with these settings and this list from before; serves by the time that this returns.
     pub fn start(settings: &Value, discovery: SocketAddr, known: Vec<Value>) -> Proxy {
+        Proxy::start_with(settings, discovery, known, &[])
+    }
+
+    /// The same, with more in its environment.
+    pub fn start_with(
+        settings: &Value,
+        discovery: SocketAddr,
+        known: Vec<Value>,
+        environment: &[(&str, String)],
+    ) -> Proxy {
         static MADE: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
         loop {
             let made = MADE.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -72,6 +83,7 @@
             let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
             command.args(["serve", "--config"]).arg(&config);
             command.env("RUST_LOG", "info,dewhead_proxy::reducer::watch=debug");
+            command.envs(environment.iter().map(|(name, value)| (name, value)));
             let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
             let log = BufReader::new(child.stderr.take().unwrap());
             let mut proxy = Proxy { child, at, config, log };
@@ -106,6 +118,15 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// Its configuration as it is now, and another in its place.
+    pub fn configuration(&self) -> String {
+        std::fs::read_to_string(&self.config).unwrap()
+    }
+
+    pub fn configure(&self, text: &str) {
+        std::fs::write(&self.config, text).unwrap();
+    }
+
     /// Waits until the log has a line with this.
     pub fn logs(&mut self, what: &str) {
         while !line(&mut self.log).contains(what) {}
@@ -190,6 +211,11 @@
         self.accept()
     }
 
+    /// Whether somebody has connected here; whoever has is hung up on.
+    pub fn is_asked(&self) -> bool {
+        self.listener.accept().is_ok()
+    }
+
     pub fn accept(&self) -> TcpStream {
         let mut came = None;
         until("a connection", || {
@@ -220,6 +246,15 @@
     }
 }
 
+/// The environment in which a proxy's system calls fail by this plan.
+pub fn faults(plan: &Plan) -> [(&'static str, String); 2] {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    let built = Command::new(cargo).args(["build", "--locked", "-p", "dewhead-faults-preload"]).status();
+    assert!(built.expect("cargo runs").success());
+    let library = Path::new(env!("CARGO_BIN_EXE_dewhead")).with_file_name("libdewhead_faults_preload.so");
+    [("LD_PRELOAD", library.display().to_string()), (plan::VARIABLE, plan.to_string())]
+}
+
 /// All that still comes, to the end; an end by a reset counts as one.
 pub fn rest(mut of: impl Read) -> String {
     let mut all = Vec::new();
--- /dev/null
+++ b/crates/dewhead-proxy/tests/system_calls.rs
@@ -0,0 +1,59 @@
+//! System calls and files that fail for a moment: what was taken on is done all the same.
+
+mod common;
+
+use common::loopback::{entry, faults, line, say, until, Place, Proxy};
+use common::settings;
+use dewhead_faults::plan::Plan;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+/// One attempt a call, and time enough for it on a busy machine.
+fn one_attempt() -> Value {
+    let mut told = settings();
+    told["limits"]["mostLegs"] = json!(1);
+    told["limits"]["connectTimeout"] = json!(6000.0);
+    for at in 0..3 {
+        told["trafficTypes"][at]["setupTarget"] = json!(12000.0);
+        told["trafficTypes"][at]["guardTime"] = json!(15000.0);
+    }
+    told
+}
+
+/// No descriptor, buffer or local port for a moment: that is this machine's trouble, and neither the server's nor the call's.
+#[test]
+fn a_connection_that_cannot_be_begun_for_a_moment_costs_no_call() {
+    let plan = Plan { seed: 5, socket: 0.3, interrupt: 0.1, accept: 0.3, ..Plan::default() };
+    let (server, discovery) = (Place::new(), Place::new());
+    let known = vec![entry("s-1", server.at, "ready")];
+    let proxy = Proxy::start_with(&one_attempt(), discovery.at, known, &faults(&plan));
+    for id in 1..=30 {
+        let mut client = proxy.client(id, "feed", 15_000);
+        let asked = std::thread::scope(|scope| {
+            let answered = scope.spawn(|| {
+                let (served, head) = server.asked();
+                say(&served, "UP 1\r\n");
+                (served, head)
+            });
+            let answer = line(&mut client);
+            assert_eq!(answer, "UP 1\r\n", "call {id}");
+            answered.join().expect("the server was asked")
+        });
+        assert!(asked.1.starts_with("OPEN "), "{}", asked.1);
+    }
+}
+
+/// The configuration is written in two halves, and the signal comes between them.
+#[test]
+fn a_new_configuration_that_is_half_written_is_read_again() {
+    let (server, old, new) = (Place::new(), Place::new(), Place::new());
+    let known = vec![entry("s-1", server.at, "ready")];
+    let mut proxy = Proxy::start(&settings(), old.at, known.clone());
+    let _watch = old.watch(2, true, known.clone());
+    let whole = proxy.configuration().replace(&old.at.to_string(), &new.at.to_string());
+    proxy.configure(&whole[..whole.len() / 2]);
+    proxy.tell(Signal::HUP);
+    proxy.logs("the new configuration");
+    proxy.configure(&whole);
+    until("the new discovery is asked", || new.is_asked());
+}
