Starts by the own clock; sockets and files that fail for a moment are tried again

Cause and change, in the order of the tests that failed: - born_ms was set against a clock that followed the wall clock once, at the start. memory/start_times.rs remembers by how much the wall clock has been ahead and takes the latest start that is not in the future; one told before stays put. - a failed socket(), epoll_create or bind ended the start, and an attempt that could not be begun ended as unreachable, against its server. transient.rs names the errors of this machine; persist() makes a start's call again for a second, and a leg waits as LegStage::Queued and is dialled again, twenty times in the time it has. - a configuration that can't be read at SIGHUP is read again each 0.1 s for 3 s (a new address counts after 4 s). Beside them: a wait that ends with EINTR no longer puts timers off; a log that can't be written can't end the process by a panic. Ruled out: timers, deadlines, windows and the watch's silence were on the monotonic clock already.

Measured: tests/clock.rs and tests/system_calls.rs, which failed.

--- a/crates/dewhead-lab/src/plain.rs
+++ b/crates/dewhead-lab/src/plain.rs
@@ -790,7 +790,7 @@
                 let wait = self.sessions[session].wait.clone();
                 self.effects.push(Effect::Head { leg, session, wait, figure });
             }
-            Event::Refused(leg) => {
+            Event::Refused(leg) | Event::NotDialled(leg) => {
                 if self.legs.contains(leg) {
                     self.leg_over(now, leg, false);
                 }
--- a/crates/dewhead-proxy/src/lib.rs
+++ b/crates/dewhead-proxy/src/lib.rs
@@ -1,9 +1,11 @@
 //! The dewhead proxy. `lifecycle` starts and stops it, `turn` moves bytes between sockets, `wire` knows what is
 //! spoken, `control` answers operators, and every change of what `memory` keeps goes through `reducer`.
 
+pub mod clock;
 pub mod control;
 pub mod lifecycle;
 pub mod memory;
 pub mod reducer;
+pub mod transient;
 pub mod turn;
 pub mod wire;
--- a/crates/dewhead-proxy/src/lifecycle/configuration.rs
+++ b/crates/dewhead-proxy/src/lifecycle/configuration.rs
@@ -1,9 +1,11 @@
 //! The one place where the configuration is read, checked and given its defaults.
 
+use crate::transient::persist;
 use crate::wire::listing::listing;
 use dewhead_startup::fields::{field, maybe, text, whole, wrong, Outcome};
 use dewhead_startup::{shape, Startup};
 use serde_json::Value;
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -56,13 +58,25 @@
 }
 
 impl Configuration {
+    /// As `load`, for a process that can't start without it: a file that can't be read for a moment is read again.
+    pub fn load_at_start(path: Option<&Path>) -> Result<Configuration, String> {
+        Configuration::load_by(path, |path| persist(|| std::fs::read(path)))
+    }
+
     /// Reads the file named, or else the one that LB_CONFIG names.
     pub fn load(path: Option<&Path>) -> Result<Configuration, String> {
+        Configuration::load_by(path, |path| std::fs::read(path))
+    }
+
+    fn load_by(
+        path: Option<&Path>,
+        read: impl Fn(&Path) -> io::Result<Vec<u8>>,
+    ) -> Result<Configuration, String> {
         let told = std::env::var_os("LB_CONFIG");
         let path = path
             .or(told.as_ref().map(Path::new))
             .ok_or("no configuration: give --config FILE or set LB_CONFIG")?;
-        let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let bytes = read(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let value: Value = serde_json::from_slice(&bytes).map_err(|e| format!("{}: {e}", path.display()))?;
         Configuration::read(&value).map_err(|e| format!("{}: {e}", path.display()))
     }
--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -5,16 +5,19 @@
 pub mod notify;
 pub mod stages;
 
+use crate::clock::Clock;
 use crate::control::ask::Predecessor;
 use crate::memory::known;
 use crate::reducer::Reducer;
-use crate::turn::{Clock, Turn};
+use crate::transient::persist;
+use crate::turn::{Report, Turn};
 use crate::wire::listing::listing;
 use configuration::{Configuration, Fixed};
 use log::{error, info, warn};
 use mio::net::TcpListener;
 use notify::Notify;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
@@ -26,7 +29,8 @@
     match command::carry_out(&command) {
         Ok(()) => 0,
         Err(fault) => {
-            eprintln!("dewhead: {fault}");
+            // A log that can't be written changes nothing of the outcome.
+            let _ = writeln!(std::io::stderr(), "dewhead: {fault}");
             1
         }
     }
@@ -35,9 +39,10 @@
 /// A socket on which a byte comes for each of these signals.
 fn heard(signals: &[i32]) -> Result<UnixStream, String> {
     let fault = |e| format!("signals: {e}");
-    let (hears, tells) = UnixStream::pair().map_err(fault)?;
+    let (hears, tells) = persist(UnixStream::pair).map_err(fault)?;
     for signal in signals {
-        signal_hook::low_level::pipe::register(*signal, tells.try_clone().map_err(fault)?).map_err(fault)?;
+        let tells = persist(|| tells.try_clone()).map_err(fault)?;
+        signal_hook::low_level::pipe::register(*signal, tells).map_err(fault)?;
     }
     Ok(hears)
 }
@@ -45,7 +50,7 @@
 fn serve(path: Option<PathBuf>, take_over: Option<PathBuf>, leave_in: Option<f64>) -> Result<(), String> {
     // Before anything that takes time: a signal that nobody hears ends the process.
     let (stops, renewals) = (heard(&[SIGTERM, SIGINT])?, heard(&[SIGHUP])?);
-    let read = Configuration::load(path.as_deref())?;
+    let read = Configuration::load_at_start(path.as_deref())?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
@@ -88,7 +93,7 @@
         None => listener(listen)?,
     };
     let again = path.clone();
-    let renewed = Box::new(move || renew(path.as_deref(), &fixed));
+    let renewed = Box::new(move |report| renew(path.as_deref(), &fixed, report));
     let mut turn = Turn::new(clock, reducer, listener, stops, (renewals, renewed))
         .map_err(|e| format!("{listen}: {e}"))?;
     turn.notify = Notify::from_environment();
@@ -136,15 +141,21 @@
             socket.set_nonblocking(true).map_err(fault)?;
             Ok(TcpListener::from_std(socket))
         }
-        None => TcpListener::bind(at).map_err(fault),
+        None => persist(|| TcpListener::bind(at)).map_err(fault),
     }
 }
 
 /// Reads the configuration again; a faulty one changes nothing.
-fn renew(path: Option<&Path>, running: &Fixed) -> Option<(SocketAddr, usize)> {
-    let read = Configuration::load(path)
-        .map_err(|fault| error!("the new configuration is left aside, as it is faulty: {fault}"))
-        .ok()?;
+fn renew(path: Option<&Path>, running: &Fixed, report: Report) -> Option<(SocketAddr, usize)> {
+    let read = match Configuration::load(path) {
+        Ok(read) => read,
+        Err(fault) => {
+            if report == Report::Faults {
+                error!("the new configuration is left aside, as it is faulty: {fault}");
+            }
+            return None;
+        }
+    };
     let kept = running.differing(&read.fixed);
     if !kept.is_empty() {
         warn!("the new configuration: {} can change at a restart only, and stays", kept.join(", "));
--- a/crates/dewhead-proxy/src/memory/mod.rs
+++ b/crates/dewhead-proxy/src/memory/mod.rs
@@ -5,4 +5,5 @@
 pub mod pace;
 pub mod servers;
 pub mod sessions;
+pub mod start_times;
 pub mod timers;
--- a/crates/dewhead-proxy/src/memory/servers.rs
+++ b/crates/dewhead-proxy/src/memory/servers.rs
@@ -10,6 +10,8 @@
     pub dial: Option<SocketAddr>,
     pub state: State,
     pub started: Option<f64>,
+    /// The same as discovery tells it, by the wall clock.
+    pub born: Option<f64>,
     pub pace: Pace,
     /// What a message takes here, by its lines and by its set-ups, and when each sign was last seen.
     pub delays: [(f64, f64); 2],
@@ -39,6 +41,7 @@
                 dial: None,
                 state: listed.state,
                 started: listed.started,
+                born: None,
                 pace: Pace::default(),
                 delays: [(0.0, f64::NEG_INFINITY); 2],
                 told_at: f64::NEG_INFINITY,
--- a/crates/dewhead-proxy/src/memory/sessions.rs
+++ b/crates/dewhead-proxy/src/memory/sessions.rs
@@ -88,6 +88,8 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum LegStage {
+    /// To be dialled once this machine can.
+    Queued,
     Connecting,
     /// The head's last byte is written.
     Asked,
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -13,6 +13,7 @@
 use crate::memory::pace::Kinds;
 use crate::memory::servers::Servers;
 use crate::memory::sessions::{LegStage, Out, Session};
+use crate::memory::start_times::WallClock;
 use crate::memory::timers::{Timer, Timers};
 use crate::wire::answers;
 use crate::wire::http::Answer;
@@ -21,7 +22,7 @@
 use dewhead::terms::Ending;
 use dewhead_startup::{Known, Startup};
 use door::{Asked, Door};
-use log::{debug, info};
+use log::{debug, info, warn};
 use oorandom::Rand64;
 use serde_json::Value;
 use slab::Slab;
@@ -48,6 +49,8 @@
     Connected(usize),
     /// The connection did not come up.
     Refused(usize),
+    /// The connection could not be begun for want of something on this machine.
+    NotDialled(usize),
     /// A leg's head is written to its last byte.
     HeadWritten(usize),
     WatchOpen,
@@ -169,6 +172,7 @@
     loiterers: BTreeMap<u64, (usize, f64)>,
     legs: Slab<Out>,
     servers: Servers,
+    wall_clock: WallClock,
     timers: Timers<Due>,
     serial: u64,
     watch: Watch,
@@ -223,6 +227,7 @@
             loiterers: BTreeMap::new(),
             legs: Slab::new(),
             servers: Servers::default(),
+            wall_clock: WallClock::default(),
             timers: Timers::default(),
             serial: 0,
             watch: Watch::of(discovery),
@@ -264,6 +269,13 @@
         (self.looked_at, self.held_up) = (at, late);
     }
 
+    /// The wall clock shows so many seconds more than the clock of `now`: it has been stepped since the start.
+    pub fn wall_clock_is_ahead(&mut self, by: f64) {
+        if let Some(step) = self.wall_clock.observe(by) {
+            warn!("the wall clock was stepped by {step:.3} s");
+        }
+    }
+
     /// Whether a time that ends in this turn tells of a server, and not of our own delay.
     fn tells(&self, took: f64) -> bool {
         self.held_up <= OWN_DELAY * took
@@ -315,6 +327,7 @@
             Event::Closed(End::Server(leg), how) => self.server_closed(now, leg, how),
             Event::Connected(leg) => self.connected(now, leg),
             Event::Refused(leg) => self.leg_failed(now, leg, Ending::Unreachable),
+            Event::NotDialled(leg) => self.dial_later(now, leg),
             Event::HeadWritten(leg) => {
                 if let Some(out) = self.legs.get_mut(leg).filter(|l| l.stage == LegStage::Connecting) {
                     out.stage = LegStage::Asked;
@@ -435,6 +448,7 @@
                     call.woken(now);
                 }
             }
+            Due::Leg(leg) if self.legs[leg].stage == LegStage::Queued => self.redial(now, leg),
             Due::Leg(leg) => {
                 let out = &mut self.legs[leg];
                 out.timer = None;
--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -7,6 +7,9 @@
 use dewhead::terms::Ending;
 use log::debug;
 
+/// A connection that could not be begun is tried again so many times while it may come up, evenly.
+const REDIALS: f64 = 20.0;
+
 impl Reducer {
     pub(super) fn send(&mut self, now: f64, key: usize, server: u64, limit: f64) {
         let session = &mut self.sessions[key];
@@ -53,6 +56,30 @@
         true
     }
 
+    /// The connection could not be begun: no descriptor, no memory or no local port for a moment. Its server has nothing
+    /// to do with that, and the call has its time still.
+    pub(super) fn dial_later(&mut self, now: f64, leg: usize) {
+        let pause = self.connect_limit.min(self.longest_guard) / REDIALS;
+        let Some(out) = self.legs.get_mut(leg).filter(|l| l.stage == LegStage::Connecting) else { return };
+        out.stage = LegStage::Queued;
+        let at = (now + pause).min(out.up_by).min(out.until);
+        if let Some(old) = out.timer.replace(self.timers.set(at, Due::Leg(leg))) {
+            self.timers.cancel(old);
+        }
+    }
+
+    pub(super) fn redial(&mut self, now: f64, leg: usize) {
+        let out = &mut self.legs[leg];
+        out.timer = None;
+        if now >= out.up_by.min(out.until) {
+            return self.leg_failed(now, leg, Ending::NotSent);
+        }
+        out.stage = LegStage::Connecting;
+        out.timer = Some(self.timers.set(out.up_by, Due::Leg(leg)));
+        let to = out.to;
+        self.effects.push(Effect::Dial(leg, to));
+    }
+
     /// A connection that could not be put back is tried again, until its client has waited long enough.
     pub(super) fn again(&mut self, now: f64, key: usize) {
         let until = self.sessions[key].returning.as_ref().map_or(now, |(_, wanted)| wanted.until);
@@ -83,7 +110,7 @@
         let key = out.session;
         match out.stage {
             // Whatever it answers, it has not had the line: only of a full server that is a word.
-            LegStage::Connecting => {
+            LegStage::Queued | LegStage::Connecting => {
                 out.answer.extend_from_slice(bytes);
                 let full = matches!(first(&out.answer), Ok(Some(end)) if word(trimmed(&out.answer[..end])) == Word::Busy);
                 self.leg_failed(now, leg, if full { Ending::Full } else { Ending::Unreachable });
@@ -154,7 +181,7 @@
         let Some(out) = self.legs.get(leg) else { return };
         let (key, farewell) = (out.session, out.farewell);
         match out.stage {
-            LegStage::Connecting => self.leg_failed(now, leg, Ending::Unreachable),
+            LegStage::Queued | LegStage::Connecting => self.leg_failed(now, leg, Ending::Unreachable),
             LegStage::Asked => self.leg_failed(now, leg, Ending::Broken),
             LegStage::Parting => self.close_all(now, key, How::Closed),
             LegStage::Standing => {
--- a/crates/dewhead-proxy/src/reducer/stopping.rs
+++ b/crates/dewhead-proxy/src/reducer/stopping.rs
@@ -62,6 +62,8 @@
                 out.until = by;
                 // One that is not up yet may have less time already.
                 let at = match out.stage {
+                    // Its timer dials it, and ends it in time.
+                    LegStage::Queued => continue,
                     LegStage::Connecting => out.up_by.min(by),
                     _ => by,
                 };
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -145,6 +145,7 @@
             }
         };
         let (version, whole) = (told.number, told.whole);
+        let born = self.start_by_own_clock(now, &mut told);
         // Nor is one believed that names nobody yet.
         if version < self.watch.version && (!whole || told.entries.is_empty()) {
             warn!("discovery: version {version} is older than {}, which is held", self.watch.version);
@@ -173,6 +174,11 @@
             );
         }
         let gone = self.servers.follow(whole || remembered, &told.entries);
+        for ((listed, _), born) in told.entries.iter().zip(born) {
+            if let Some(server) = self.servers.0.get_mut(&listed.id) {
+                server.born = born;
+            }
+        }
         let news = match () {
             () if remembered => News::Remembered,
             () if whole => News::Whole,
@@ -193,6 +199,21 @@
         true
     }
 
+    /// Discovery tells starts by the wall clock. Puts them on the process's own, and returns them as they were told; one
+    /// that was told before stays where it was put then.
+    fn start_by_own_clock(&self, now: f64, told: &mut Version) -> Vec<Option<f64>> {
+        let mut as_told = Vec::with_capacity(told.entries.len());
+        for (listed, _) in &mut told.entries {
+            as_told.push(listed.started);
+            let held = self.servers.0.get(&listed.id).filter(|held| held.born == listed.started);
+            listed.started = match held {
+                Some(held) => held.started,
+                None => listed.started.map(|born| self.wall_clock.started(now, born)),
+            };
+        }
+        as_told
+    }
+
     /// The list held is as good as can be had: who came before is heard.
     pub(super) fn confirm(&mut self, now: f64) {
         if std::mem::take(&mut self.unconfirmed) {
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -1,12 +1,14 @@
 //! The loop: what the sockets have becomes events, and effects become reads and writes. One clock read a turn, and
 //! discovery's events before all others.
 
+use crate::clock::Clock;
 use crate::control::desk::Desk;
 use crate::control::words::{self, Request};
 use crate::lifecycle::notify::{Notify, Word};
 use crate::lifecycle::stages::{Act, Life, Stage, Told};
 use crate::memory::links::Link;
 use crate::reducer::{Effect, End, Event, How, Reducer};
+use crate::transient::{is_transient, persist};
 use crate::wire::http;
 use log::{debug, error, info, warn};
 use mio::net::{TcpListener, TcpStream, UnixStream};
@@ -15,7 +17,7 @@
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
@@ -33,28 +35,31 @@
 const BATCH: usize = 1024;
 /// Timers wait for sockets that still have something to say, but for no more batches than this.
 const MOST_UNTICKED: u32 = 16;
+/// A configuration that is being written when the signal comes is whole a moment later. It is read again after this, for
+/// so long: a new address of discovery counts four seconds after the signal.
+const REREAD_PAUSE: f64 = 0.1;
+const REREAD_FOR: f64 = 3.0;
 /// Where accepting fails, it is tried again after this.
 const ACCEPT_PAUSE: f64 = 0.05;
 
-/// Seconds since 1970 as the module wants them, from a clock that never goes back.
-pub struct Clock {
-    began: Instant,
-    offset: f64,
-}
-
-impl Clock {
-    pub fn start() -> Clock {
-        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        Clock { began: Instant::now(), offset: since.map_or(0.0, |s| s.as_secs_f64()) }
-    }
+/// Reads the configuration again, and says in the log what is wrong with it unless told to be quiet. What of it changes
+/// while the proxy runs, as `Event::Renewed` has it; none while it can't be read.
+pub type Renewed = Box<dyn FnMut(Report) -> Option<(SocketAddr, usize)>>;
 
-    pub fn now(&self) -> f64 {
-        self.offset + self.began.elapsed().as_secs_f64()
-    }
+/// Whether a fault in the configuration is told in the log.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Report {
+    Faults,
+    Nothing,
 }
 
-/// What of a configuration that was read again changes while the proxy runs: `Event::Renewed` has the same.
-pub type Renewed = Box<dyn FnMut() -> Option<(SocketAddr, usize)>>;
+/// A configuration that could not be read, and is read again.
+#[derive(Clone, Copy)]
+struct Reread {
+    /// When next, and until when.
+    at: f64,
+    until: f64,
+}
 
 /// Starts a program that takes this process's place, by its path or this one's own.
 pub type Starts = Box<dyn FnMut(Option<&str>) -> Result<std::process::Child, String>>;
@@ -70,6 +75,7 @@
     renewals: UnixStream,
     /// Reads it; none if it is faulty and nothing changes.
     renewed: Renewed,
+    reread: Option<Reread>,
     /// The stage that the process is in, who is told of it, and where operators ask.
     life: Life,
     pub notify: Notify,
@@ -122,7 +128,7 @@
         signals: std::os::unix::net::UnixStream,
         (renewals, renewed): (std::os::unix::net::UnixStream, Renewed),
     ) -> io::Result<Turn> {
-        let poll = Poll::new()?;
+        let poll = persist(Poll::new)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let heard = |told: std::os::unix::net::UnixStream, token| {
             told.set_nonblocking(true)?;
@@ -139,6 +145,7 @@
             signals,
             renewals,
             renewed,
+            reread: None,
             life: Life::default(),
             notify: Notify::silent(),
             desk: None,
@@ -170,8 +177,10 @@
         while !self.exit {
             self.notify.turn(self.clock.now());
             let accept = self.accept_from.filter(|_| self.accepting);
+            let reread = self.reread.map(|again| again.at);
+            let others = [accept, self.notify.due(), reread];
             let due =
-                self.reducer.next_due().into_iter().chain(accept).chain(self.notify.due()).reduce(f64::min);
+                self.reducer.next_due().into_iter().chain(others.into_iter().flatten()).reduce(f64::min);
             let wait = match due {
                 _ if !self.again.is_empty() => Some(Duration::ZERO),
                 Some(at) => Some(Duration::from_secs_f64((at - self.clock.now()).clamp(0.0, 60.0))),
@@ -179,7 +188,8 @@
             };
             let looked_at = self.clock.now();
             match self.poll.poll(&mut events, wait) {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                // What falls due meanwhile is looked at all the same: signals may come without end.
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => events.clear(),
                 other => other?,
             }
             let now = self.clock.now();
@@ -225,6 +235,7 @@
                 unticked = 0;
                 self.tell(now, Event::Tick, &[]);
             }
+            self.reread(now);
             if self.accepting && self.accept_from.is_some_and(|at| at <= now) {
                 self.accept(now);
             }
@@ -269,8 +280,9 @@
                     self.notify.tell(Word::Status(stage));
                 }
                 Act::ReadAgain => {
-                    if let Some((discovery, most)) = (self.renewed)() {
-                        self.tell(now, Event::Renewed(discovery, most), &[]);
+                    self.reread = None;
+                    if !self.renew(now, Report::Faults) {
+                        self.reread = Some(Reread { at: now + REREAD_PAUSE, until: now + REREAD_FOR });
                     }
                     self.live(now, Told::Renewed);
                 }
@@ -282,6 +294,20 @@
         }
     }
 
+    /// Reads the configuration and goes by it; false where it can't be read.
+    fn renew(&mut self, now: f64, report: Report) -> bool {
+        let Some((discovery, most)) = (self.renewed)(report) else { return false };
+        self.tell(now, Event::Renewed(discovery, most), &[]);
+        true
+    }
+
+    /// Reads the configuration once more, where that is due.
+    fn reread(&mut self, now: f64) {
+        let Some(again) = self.reread.filter(|again| again.at <= now) else { return };
+        let done = self.renew(now, Report::Nothing) || now >= again.until;
+        self.reread = (!done).then_some(Reread { at: now + REREAD_PAUSE, ..again });
+    }
+
     /// Somebody is at the control socket.
     fn visited(&mut self, now: f64, whose: Option<usize>) {
         let Some(desk) = &mut self.desk else { return };
@@ -554,6 +580,9 @@
     }
 
     fn watch_ready(&mut self, now: f64, writable: bool) {
+        if let Some(ahead) = self.clock.wall_ahead() {
+            self.reducer.wall_clock_is_ahead(ahead);
+        }
         let Some(link) = self.watch.as_mut() else { return };
         if link.connecting {
             if !writable {
@@ -675,6 +704,10 @@
     fn dial(&mut self, now: f64, leg: usize, to: SocketAddr) {
         match TcpStream::connect(to) {
             Ok(socket) => self.keep(End::Server(leg), socket, true),
+            Err(e) if is_transient(&e) => {
+                debug!("dialling {to}, for now: {e}");
+                self.tell(now, Event::NotDialled(leg), &[]);
+            }
             Err(e) => {
                 debug!("dialling {to}: {e}");
                 self.tell(now, Event::Refused(leg), &[]);
--- a/crates/dewhead-proxy/tests/clock.rs
+++ b/crates/dewhead-proxy/tests/clock.rs
@@ -5,6 +5,7 @@
 use common::loopback::{entry, faults, Place, Proxy};
 use common::{list, settings};
 use dewhead_faults::plan::{ClockStep, Plan};
+use dewhead_proxy::memory::start_times::WallClock;
 use serde_json::json;
 use std::io::Write;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -56,3 +57,35 @@
         }
     }
 }
+
+/// The latest start that is not in the future holds, whichever side of a step it was written on.
+#[test]
+fn a_start_is_put_on_the_own_clock_by_the_step_it_was_written_under() {
+    let now = 10_000.0;
+    for step in [HOUR, -HOUR] {
+        let mut wall = WallClock::default();
+        assert_eq!(wall.observe(0.02), None, "less than a reading may be wrong by");
+        assert_eq!(wall.started(now, now - 5.0), now - 5.0);
+        assert_eq!(wall.observe(step), Some(step));
+        assert_eq!(wall.started(now, now - 5.0), now - 5.0, "written before the step");
+        assert_eq!(wall.started(now, now - 5.0 + step), now - 5.0, "written after it");
+        assert_eq!(wall.started(now, now + 2.0 * HOUR), now, "not by any clock that was seen");
+    }
+}
+
+/// A clock that is set again and again takes no more room for it.
+#[test]
+fn only_the_latest_steps_are_remembered() {
+    let mut wall = WallClock::default();
+    for step in 1..=100 {
+        assert!(wall.observe(f64::from(step) * HOUR).is_some());
+    }
+    let now = 1e6;
+    assert_eq!(wall.started(now, now + 100.0 * HOUR), now);
+    assert_eq!(wall.started(now, now - 5.0 + 93.0 * HOUR), now - 5.0);
+    assert_eq!(
+        wall.started(now, now - 5.0 + 92.0 * HOUR),
+        now - 5.0 - HOUR,
+        "forgotten: by the one after it"
+    );
+}
--- a/crates/dewhead-proxy/tests/system_calls.rs
+++ b/crates/dewhead-proxy/tests/system_calls.rs
@@ -27,6 +27,7 @@
     let (server, discovery) = (Place::new(), Place::new());
     let known = vec![entry("s-1", server.at, "ready")];
     let proxy = Proxy::start_with(&one_attempt(), discovery.at, known, &faults(&plan));
+    let mut standing = Vec::new();
     for id in 1..=30 {
         let mut client = proxy.client(id, "feed", 15_000);
         let asked = std::thread::scope(|scope| {
@@ -40,6 +41,8 @@
             answered.join().expect("the server was asked")
         });
         assert!(asked.1.starts_with("OPEN "), "{}", asked.1);
+        // One that ends without a word would tell of a server that is overloaded.
+        standing.push((client, asked.0));
     }
 }
 
