A guard for sending, repeating, closing and slow start; counters by reason; a soak on real processes

Guard (crates/dewhead-proxy/src/guard.rs): one place that checks, by what the proxy itself has seen, what the decisions promise: a request goes out only for a client that waits, in time, to a ready server; a further attempt only where a repeat or an overlap is allowed; no close with a request read and no answer, no standing connection without MOVE; no server in slow start sent more by one proxy than by all. A violation is counted, logged with the request's id, and not done where that is possible. tests/guard.rs breaks each; the random and interleaved reducer tests want none.

Counters (memory/counters.rs): attempts, retries, how attempts ended, refusals, last words and closes by reason, on the control socket's status and in the log at the end; each close and last word tells its reason at debug.

Also: at the end of the process accepting is tried for 50 ms while it fails, and who was accepted then is read and answered.

Soak: dewhead-lab soak draws two or three troubles that begin within 3 s of each other, and failing system calls, plays them on real processes and judges by the auditor, the guard's log lines and panics.

--- a/crates/dewhead-lab/src/commands/mod.rs
+++ b/crates/dewhead-lab/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod report;
 mod run;
 mod scale;
+mod soak;
 mod table;
 
 use argh::FromArgs;
@@ -33,6 +34,7 @@
     Report(report::Report),
     Hunt(hunt::Hunt),
     Scale(scale::Scale),
+    Soak(soak::Soak),
     Capacity(capacity::Capacity),
     Hollow(hollow::Hollow),
 }
@@ -49,6 +51,7 @@
         Command::Kinds(kinds) => kinds.carry_out(),
         Command::Report(report) => report.carry_out(),
         Command::Hunt(hunt) => hunt.carry_out(),
+        Command::Soak(soak) => soak.carry_out(),
         Command::Scale(scale) => scale.carry_out(),
         Command::Capacity(capacity) => capacity.carry_out(),
         Command::Hollow(hollow) => hollow.carry_out(),
--- a/crates/dewhead-lab/src/lib.rs
+++ b/crates/dewhead-lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod runs;
 pub mod scale;
 pub mod simulated;
+pub mod soak;
 pub mod sockets;
 pub mod stats;
--- /dev/null
+++ b/crates/dewhead-lab/src/soak.rs
@@ -0,0 +1,201 @@
+//! The soak: days on real processes in which two or three troubles overlap and system calls fail, drawn from a seed and
+//! judged by the auditor, by the proxies' own guard and by what is left over.
+
+use crate::sockets::{FaultInjection, Programs, Sockets};
+use dewhead_faults::plan::{ClockStep, Plan};
+use dewhead_world::audit::Breach;
+use dewhead_world::chance::{Chance, Of};
+use dewhead_world::experiment::{Experiment, Trouble};
+use std::path::{Path, PathBuf};
+
+/// Kinds that mean something to a fleet of processes on loopback.
+const KINDS: &[&str] = &[
+    "restart-stop",
+    "restart-kill",
+    "reconfigure",
+    "drain",
+    "node-restart",
+    "node-silent",
+    "fast-errors",
+    "bad-clients",
+    "reconnect",
+    "discovery-silent",
+    "discovery-restart",
+    "discovery-late",
+    "zone-cut",
+    "slow-network",
+    "handover",
+];
+/// Troubles of a day, at the least and at the most; they begin within `OVERLAP` seconds of each other.
+const FEWEST: usize = 2;
+const MOST: usize = 3;
+const OVERLAP: f64 = 3.0;
+/// When the first begins, in seconds from the start.
+const BEGINS: [f64; 2] = [4.0, 6.0];
+const HOUR: f64 = 3600.0;
+/// A lab later than this, in seconds, may take its own delay for the proxies'.
+const MOST_LATE: f64 = 0.2;
+/// What the proxies' guard writes for a broken promise.
+const VIOLATION: &str = "invariant violated";
+/// What a process that ends by a panic writes.
+const PANIC: &str = "panicked at";
+
+/// A day to be soaked.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub seed: u64,
+    pub of: Experiment,
+    pub plan: Plan,
+}
+
+/// How large the days are.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub proxies: usize,
+    pub nodes: usize,
+    pub seconds: f64,
+}
+
+/// What one day came to.
+#[derive(Debug)]
+pub struct Verdict {
+    pub seed: u64,
+    pub troubles: Vec<String>,
+    pub plan: Plan,
+    pub service: f64,
+    pub completed: u64,
+    pub unanswered: u64,
+    pub breaches: Vec<Breach>,
+    /// Lines of the proxies' logs that tell of a broken promise or a panic.
+    pub faults: Vec<String>,
+    /// By how much the lab itself came late at the worst, in seconds.
+    pub lateness: f64,
+}
+
+impl Verdict {
+    /// Whether the lab came so late that what it saw may be its own doing.
+    pub fn is_late(&self) -> bool {
+        self.lateness > MOST_LATE
+    }
+
+    pub fn is_sound(&self) -> bool {
+        self.breaches.is_empty() && self.faults.is_empty()
+    }
+}
+
+fn hundredths(x: f64) -> f64 {
+    (x * 100.0).round() / 100.0
+}
+
+fn trouble(chance: &mut Chance, kind: &str, begins: f64, seconds: f64) -> Trouble {
+    let size = match kind {
+        "bad-clients" => chance.within([10.0, 40.0]),
+        "slow-network" | "discovery-late" => chance.within([2.0, 8.0]),
+        _ => chance.within([1.0, 4.0]),
+    };
+    let part = match kind {
+        "restart-stop" | "restart-kill" | "reconfigure" | "handover" => chance.within([0.3, 1.0]),
+        _ => chance.within([0.2, 0.5]),
+    };
+    Trouble {
+        kind: kind.to_owned(),
+        at: hundredths(begins + chance.within([0.0, OVERLAP])),
+        lasts: hundredths(chance.within([1.0, seconds * 0.4])),
+        part: hundredths(part),
+        size: hundredths(size),
+        at_a_time: 1 + chance.place(3),
+        zone: None,
+        of: None,
+    }
+}
+
+/// Each fault is in one day of two, so that days differ in what meets.
+fn plan(chance: &mut Chance, seed: u64, begins: f64) -> Plan {
+    let mut drawn = |most: f64| {
+        let happens = chance.within([0.0, 1.0]) < 0.5;
+        if happens {
+            hundredths(chance.within([0.01, most]))
+        } else {
+            0.0
+        }
+    };
+    let (short, interrupt) = (drawn(0.4), drawn(0.2));
+    let (accept, socket, connect, open) = (drawn(0.3), drawn(0.1), drawn(0.1), drawn(0.5));
+    let by = [0.0, HOUR, -HOUR][chance.place(3)];
+    let step = ClockStep { from: begins, by };
+    Plan { seed, short, interrupt, accept, socket, connect, open, step }
+}
+
+impl Day {
+    /// The day that this seed draws.
+    pub fn drawn(size: Size, seed: u64) -> Day {
+        let mut chance = Chance::of(seed, Of::Search, 0);
+        let begins = hundredths(chance.within(BEGINS));
+        let count = FEWEST + chance.place(MOST - FEWEST + 1);
+        let mut of =
+            Experiment { name: format!("soak-{seed}"), seconds: size.seconds, ..Experiment::default() };
+        (of.fleet.proxies, of.fleet.nodes) = (size.proxies, size.nodes);
+        of.load.utilisation = hundredths(chance.within([0.2, 0.4]));
+        let mut kinds = KINDS.to_vec();
+        while of.troubles.len() < count {
+            let kind = kinds.remove(chance.place(kinds.len()));
+            of.troubles.push(trouble(&mut chance, kind, begins, size.seconds));
+        }
+        Day { seed, of, plan: plan(&mut chance, seed, begins) }
+    }
+
+    /// Plays it on the proxy's binary; the logs of its processes go to this folder, which is emptied first.
+    ///
+    /// # Errors
+    ///
+    /// The lab's own: no binary, no ports, no folder, a proxy that does not start.
+    pub fn play(&self, proxy: &Path, library: &Path, logs: &Path) -> Result<Verdict, String> {
+        let fault = |e: std::io::Error| format!("{}: {e}", logs.display());
+        if logs.exists() {
+            std::fs::remove_dir_all(logs).map_err(fault)?;
+        }
+        std::fs::create_dir_all(logs).map_err(fault)?;
+        let faults = Some(FaultInjection { library: library.to_owned(), plan: self.plan });
+        let programs = Programs { proxy: proxy.to_owned(), logs: Some(logs.to_owned()), faults };
+        let mut host = Sockets::new(&self.of, self.seed, programs)?;
+        host.run(self.of.seconds, |_, _| {})?;
+        let outcome = host.world.outcome();
+        let verdict = Verdict {
+            seed: self.seed,
+            troubles: self
+                .of
+                .troubles
+                .iter()
+                .map(|t| format!("{} at {} for {}", t.kind, t.at, t.lasts))
+                .collect(),
+            plan: self.plan,
+            service: outcome.service,
+            completed: outcome.counts.completed,
+            unanswered: outcome.counts.unanswered,
+            breaches: std::mem::take(&mut host.world.audit.breaches),
+            faults: Vec::new(),
+            lateness: host.lateness,
+        };
+        drop(host);
+        Ok(Verdict { faults: told_faults(logs)?, ..verdict })
+    }
+}
+
+/// What the processes' logs tell of broken promises and panics.
+fn told_faults(logs: &Path) -> Result<Vec<String>, String> {
+    let fault = |e: std::io::Error| format!("{}: {e}", logs.display());
+    let mut files: Vec<PathBuf> = Vec::new();
+    for entry in std::fs::read_dir(logs).map_err(fault)? {
+        files.push(entry.map_err(fault)?.path());
+    }
+    files.sort();
+    let mut found = Vec::new();
+    for file in files {
+        let text = std::fs::read(&file).map_err(fault)?;
+        let name = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        let text = String::from_utf8_lossy(&text);
+        let lines = text.lines().filter(|line| line.contains(VIOLATION) || line.contains(PANIC));
+        found.extend(lines.map(|line| format!("{name}: {line}")));
+    }
+    Ok(found)
+}
--- a/crates/dewhead-lab/src/sockets.rs
+++ b/crates/dewhead-lab/src/sockets.rs
@@ -61,7 +61,7 @@
     door: Door,
     socket: Option<TcpListener>,
     /// Connections of our own that fill the queue of one that is stuck.
-    plugs: Vec<std::net::TcpStream>,
+    plugs: Vec<TcpStream>,
 }
 
 struct Process {
@@ -489,9 +489,9 @@
         let mut socket = TcpListener::from_std(socket.into());
         if wanted == Door::Stuck {
             // A queue that is full lets no further connect come up.
+            // None of them is waited for: with hundreds of listeners that held the lab up for seconds.
             for _ in 0..2 {
-                let timeout = Duration::from_millis(20);
-                listener.plugs.extend(std::net::TcpStream::connect_timeout(&listener.address, timeout));
+                listener.plugs.extend(TcpStream::connect(listener.address));
             }
         } else {
             self.poll.registry().register(&mut socket, listener_token(slot), Interest::READABLE)?;
--- /dev/null
+++ b/crates/dewhead-lab/tests/soak.rs
@@ -0,0 +1,40 @@
+//! A short soak in every run of the tests: drawn days are sound experiments, and a small one is played whole.
+
+use dewhead_lab::soak::{Day, Size};
+use dewhead_world::experiment::Experiment;
+use std::process::Command;
+
+const SMALL: Size = Size { proxies: 3, nodes: 6, seconds: 12.0 };
+
+fn build(arguments: &[&str]) {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    let built = Command::new(cargo).args(["build", "--locked"]).args(arguments).status();
+    assert!(built.expect("cargo runs").success());
+}
+
+#[test]
+fn drawn_days_are_sound_experiments_with_troubles_that_overlap() {
+    for seed in 1..=200 {
+        let day = Day::drawn(SMALL, seed);
+        let text = toml::to_string(&day.of).expect("it is written");
+        let read = Experiment::read(&text).unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
+        let first = read.troubles.iter().map(|t| t.at).fold(f64::INFINITY, f64::min);
+        let last = read.troubles.iter().map(|t| t.at).fold(0.0, f64::max);
+        assert!((2..=3).contains(&read.troubles.len()), "seed {seed}");
+        assert!(last - first <= 3.0, "seed {seed}: they begin {first} to {last}");
+        assert_eq!(Day::drawn(SMALL, seed).plan, day.plan, "a seed draws the same day again");
+    }
+}
+
+#[test]
+fn a_small_day_keeps_all_promises() {
+    build(&["-p", "dewhead-proxy", "--bin", "dewhead"]);
+    build(&["-p", "dewhead-faults-preload"]);
+    let proxy = dewhead_lab::sockets::beside().expect("it was built a moment ago");
+    let library = dewhead_lab::sockets::faults_library().expect("it was built a moment ago");
+    let logs = std::env::temp_dir().join(format!("dewhead-soak-test-{}", std::process::id()));
+    let verdict = Day::drawn(SMALL, 2).play(&proxy, &library, &logs).expect("it plays");
+    let _ = std::fs::remove_dir_all(&logs);
+    assert!(verdict.completed > 20, "{verdict:?}");
+    assert!(verdict.is_sound(), "{verdict:#?}");
+}
--- /dev/null
+++ b/crates/dewhead-proxy/src/guard.rs
@@ -0,0 +1,192 @@
+//! The promises that every path has to keep, checked at run time in the one place where each could be broken: before a
+//! request is sent, before it is repeated, before a connection is closed, and while a server is in slow start.
+//!
+//! The checks go by what the proxy itself has seen and share nothing with the decisions that they check. What fails one
+//! is a fault of the program: it is counted, told in the log with the request's id, and not done where that is possible.
+
+use dewhead::terms::{Effect, Group};
+use log::error;
+use std::fmt;
+
+/// A promise that was about to be broken.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Violation {
+    /// A request was to be sent for a client that no longer waits for it.
+    SentForNobody,
+    /// A request was to be sent after its time.
+    SentLate,
+    /// A request was to be sent to a server that is not ready.
+    SentToWithdrawnServer,
+    /// A second attempt was to overlap one that is out, where that is not allowed.
+    Overlapped,
+    /// A request that may have run was to be sent where a repeat is not known to be harmless.
+    RepeatedUnsafely,
+    /// A connection was closed with a request read and no answer given.
+    ClosedUnanswered,
+    /// A standing connection was closed without `MOVE` while its server answered.
+    CutOff,
+    /// A server in slow start was sent more by this proxy than all proxies together may send it.
+    SlowStartExceeded,
+}
+
+impl Violation {
+    pub const ALL: [Violation; 8] = [
+        Violation::SentForNobody,
+        Violation::SentLate,
+        Violation::SentToWithdrawnServer,
+        Violation::Overlapped,
+        Violation::RepeatedUnsafely,
+        Violation::ClosedUnanswered,
+        Violation::CutOff,
+        Violation::SlowStartExceeded,
+    ];
+
+    /// The name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Violation::SentForNobody => "sent_for_nobody",
+            Violation::SentLate => "sent_late",
+            Violation::SentToWithdrawnServer => "sent_to_withdrawn_server",
+            Violation::Overlapped => "overlapped",
+            Violation::RepeatedUnsafely => "repeated_unsafely",
+            Violation::ClosedUnanswered => "closed_unanswered",
+            Violation::CutOff => "cut_off",
+            Violation::SlowStartExceeded => "slow_start_exceeded",
+        }
+    }
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// What is known in the moment before a request's first byte is written.
+pub struct Sending {
+    pub client_waits: bool,
+    pub in_time: bool,
+    pub server_ready: bool,
+}
+
+/// Where and when an attempt that may have run was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    pub at: f64,
+    pub zone: usize,
+    pub cell: u64,
+}
+
+/// What is known before a further attempt. Times are seconds.
+pub struct Repeating {
+    pub effect: Effect,
+    /// How long a repeat is recognised.
+    pub window: f64,
+    /// Attempts that are out, and whether two may be.
+    pub out: usize,
+    pub two_at_once: bool,
+    /// The first attempt that may have run.
+    pub ran: Option<Sent>,
+    /// Where the further one would go.
+    pub to: Sent,
+}
+
+/// What a connection's client is owed when it is closed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Owed {
+    Nothing,
+    /// A request was read.
+    Answer,
+    /// Its server still answers.
+    Move,
+}
+
+/// Counts the violations.
+#[derive(Default)]
+pub struct Guard {
+    counts: [u64; Violation::ALL.len()],
+}
+
+impl Guard {
+    /// How often each promise was about to be broken.
+    pub fn counts(&self) -> impl Iterator<Item = (Violation, u64)> + '_ {
+        Violation::ALL.into_iter().map(|violation| (violation, self.counts[violation as usize]))
+    }
+
+    pub fn total(&self) -> u64 {
+        self.counts.iter().sum()
+    }
+
+    /// Counts a violation, tells it in the log and returns it.
+    pub fn violated(&mut self, violation: Violation, who: &dyn fmt::Display) -> Violation {
+        self.counts[violation as usize] += 1;
+        error!("invariant violated: {violation}: {who}");
+        violation
+    }
+
+    fn check(&mut self, found: Option<Violation>, who: &dyn fmt::Display) -> Result<(), Violation> {
+        found.map_or(Ok(()), |violation| Err(self.violated(violation, who)))
+    }
+
+    /// # Errors
+    ///
+    /// The promise that sending the request would break; it must not be sent.
+    pub fn may_send(&mut self, facts: &Sending, who: &dyn fmt::Display) -> Result<(), Violation> {
+        let found = match facts {
+            Sending { client_waits: false, .. } => Some(Violation::SentForNobody),
+            Sending { in_time: false, .. } => Some(Violation::SentLate),
+            Sending { server_ready: false, .. } => Some(Violation::SentToWithdrawnServer),
+            _ => None,
+        };
+        self.check(found, who)
+    }
+
+    /// # Errors
+    ///
+    /// The promise that a further attempt would break; it must not be made.
+    pub fn may_repeat(&mut self, facts: &Repeating, who: &dyn fmt::Display) -> Result<(), Violation> {
+        let overlaps = facts.out > 0 && !(facts.two_at_once && facts.effect == Effect::Repeatable);
+        let unsafely = facts.ran.is_some_and(|ran| !facts.is_known_at(ran));
+        let found = match () {
+            () if overlaps => Some(Violation::Overlapped),
+            () if unsafely => Some(Violation::RepeatedUnsafely),
+            () => None,
+        };
+        self.check(found, who)
+    }
+
+    /// Counts a close that leaves something owed.
+    pub fn closes(&mut self, owed: Owed, who: &dyn fmt::Display) {
+        match owed {
+            Owed::Nothing => {}
+            Owed::Answer => _ = self.violated(Violation::ClosedUnanswered, who),
+            Owed::Move => _ = self.violated(Violation::CutOff, who),
+        }
+    }
+
+    /// # Errors
+    ///
+    /// This proxy alone would send a server in slow start more in a window than all may.
+    pub fn may_start(&mut self, sent: usize, most: f64, who: &dyn fmt::Display) -> Result<(), Violation> {
+        let found = (sent as f64 >= most.max(1.0)).then_some(Violation::SlowStartExceeded);
+        self.check(found, who)
+    }
+}
+
+impl Repeating {
+    /// Whether the server would know the request for a repeat of the one that was sent there before.
+    fn is_known_at(&self, ran: Sent) -> bool {
+        match self.effect {
+            Effect::Repeatable => true,
+            Effect::OnceOnly => false,
+            Effect::Referenced(group) => {
+                let in_group = match group {
+                    Group::All => true,
+                    Group::Zone => ran.zone == self.to.zone,
+                    Group::Cell => ran.zone == self.to.zone && ran.cell == self.to.cell,
+                };
+                in_group && self.to.at - ran.at < self.window
+            }
+        }
+    }
+}
--- a/crates/dewhead-proxy/src/lib.rs
+++ b/crates/dewhead-proxy/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod control;
+pub mod guard;
 pub mod lifecycle;
 pub mod memory;
 pub mod reducer;
--- a/crates/dewhead-proxy/src/memory/mod.rs
+++ b/crates/dewhead-proxy/src/memory/mod.rs
@@ -1,5 +1,6 @@
 //! What is kept: sessions and legs in slabs, sockets with the bytes that wait for them, addresses and timers.
 
+pub mod counters;
 pub mod known;
 pub mod links;
 pub mod pace;
--- a/crates/dewhead-proxy/src/memory/servers.rs
+++ b/crates/dewhead-proxy/src/memory/servers.rs
@@ -3,12 +3,16 @@
 use super::pace::Pace;
 use crate::wire::listing::Entry;
 use dewhead::terms::State;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 pub struct Address {
     pub dial: Option<SocketAddr>,
     pub state: State,
+    pub zone: usize,
+    pub cell: u64,
+    /// When requests were sent there in the last window, while it is in slow start.
+    pub recent: VecDeque<f64>,
     pub started: Option<f64>,
     /// The same as discovery tells it, by the wall clock.
     pub born: Option<f64>,
@@ -40,6 +44,9 @@
             let fresh = Address {
                 dial: None,
                 state: listed.state,
+                zone: listed.zone,
+                cell: listed.cell,
+                recent: VecDeque::new(),
                 started: listed.started,
                 born: None,
                 pace: Pace::default(),
@@ -48,7 +55,7 @@
                 slow: false,
             };
             let address = self.0.entry(listed.id).or_insert(fresh);
-            address.state = listed.state;
+            (address.state, address.zone, address.cell) = (listed.state, listed.zone, listed.cell);
             address.dial = *dial;
             if address.started != listed.started {
                 // A process that started anew has a pace of its own.
--- a/crates/dewhead-proxy/src/memory/sessions.rs
+++ b/crates/dewhead-proxy/src/memory/sessions.rs
@@ -2,6 +2,7 @@
 //! closed; a leg is one connection to a server for it.
 
 use super::timers::Timer;
+use crate::guard::Sent;
 use crate::wire::lines::Lines;
 use dewhead::state::Call;
 use dewhead::terms::{Ending, Wanted};
@@ -56,6 +57,8 @@
     pub timer: Option<Timer>,
     /// For the call's own wake and for leaving at a stop.
     pub wake: Option<Timer>,
+    /// The first attempt that may have run, as the guard knows it.
+    pub ran: Option<Sent>,
     /// For `Returning`: the server that held it before, and what it wants.
     pub returning: Option<(u64, Wanted)>,
 }
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -10,6 +10,8 @@
 mod succession;
 mod watch;
 
+use crate::guard::Guard;
+use crate::memory::counters::{AnswerReason, Counters};
 use crate::memory::pace::Kinds;
 use crate::memory::servers::Servers;
 use crate::memory::sessions::{LegStage, Out, Session};
@@ -19,7 +21,7 @@
 use crate::wire::http::Answer;
 use crate::wire::listing::Version;
 use dewhead::state::Balancer;
-use dewhead::terms::Ending;
+use dewhead::terms::{Ending, TrafficType};
 use dewhead_startup::{Known, Startup};
 use door::{Asked, Door};
 use log::{debug, info, warn};
@@ -172,6 +174,10 @@
     loiterers: BTreeMap<u64, (usize, f64)>,
     legs: Slab<Out>,
     servers: Servers,
+    traffic: Vec<TrafficType>,
+    two_at_once: bool,
+    guard: Guard,
+    counters: Counters,
     wall_clock: WallClock,
     timers: Timers<Due>,
     serial: u64,
@@ -210,6 +216,7 @@
         let slow_from = startup.shortest_message / 3.0;
         let slow_unit = longest_guard / 30.0;
         let kinds = Kinds::new(startup.known.traffic.len());
+        let (traffic, two_at_once) = (startup.traffic().to_vec(), startup.two_at_once());
         let (balancer, known) = startup.balancer(seed, door.clone());
         let mut reducer = Reducer {
             balancer,
@@ -227,6 +234,10 @@
             loiterers: BTreeMap::new(),
             legs: Slab::new(),
             servers: Servers::default(),
+            traffic,
+            two_at_once,
+            guard: Guard::default(),
+            counters: Counters::default(),
             wall_clock: WallClock::default(),
             timers: Timers::default(),
             serial: 0,
@@ -384,15 +395,16 @@
                 }
                 Asked::Reject(call, stay_away) => {
                     if let Some(key) = self.session_of(call) {
-                        self.answer(now, key, answers::busy(stay_away));
+                        self.answer(now, key, answers::busy(stay_away), AnswerReason::Refused);
                     }
                 }
                 Asked::Release(call) => {
                     if let Some(key) = self.session_of(call) {
-                        self.answer(now, key, answers::FAILED.to_vec());
+                        self.answer(now, key, answers::FAILED.to_vec(), AnswerReason::GaveUp);
                     }
                 }
                 Asked::Refused(call, why) => {
+                    self.counters.refusals.count(why.name());
                     if let Some(key) = self.session_of(call) {
                         debug!("{}: no further attempt: {why}", self.sessions[key].who());
                     }
--- a/crates/dewhead-proxy/src/reducer/clients.rs
+++ b/crates/dewhead-proxy/src/reducer/clients.rs
@@ -1,6 +1,8 @@
 //! Clients: from being accepted to their first line understood, and from their last word to their slot given back.
 
 use super::{Due, Effect, End, How, Reducer, MOST_SILENT, SLOT_BITS, TO_REFUSE};
+use crate::guard::Owed;
+use crate::memory::counters::{AnswerReason, CloseReason};
 use crate::memory::sessions::{LegStage, Session, Stage};
 use crate::wire::answers;
 use crate::wire::head::{opening, Opening};
@@ -46,6 +48,7 @@
             moving: None,
             timer: None,
             wake: None,
+            ran: None,
             returning: None,
         });
         self.effects.push(Effect::Admit(key));
@@ -75,7 +78,9 @@
     pub(super) fn make_room(&mut self, now: f64) {
         while self.descriptors.most.saturating_sub(self.descriptors.used) < self.descriptors.most / SPARE {
             match self.loiterers.first_key_value() {
-                Some((_, &(key, since))) if now - since >= LET_SPEAK => self.close_all(now, key, How::Closed),
+                Some((_, &(key, since))) if now - since >= LET_SPEAK => {
+                    self.close_all(now, key, How::Closed, CloseReason::MadeRoom)
+                }
                 _ => return,
             }
         }
@@ -106,7 +111,7 @@
                 session.head.extend_from_slice(bytes);
                 // Never more than a line and a piece, also where it is not read yet.
                 if session.head.len() > 2 * LONGEST {
-                    return self.answer(now, key, answers::FAILED.to_vec());
+                    return self.misunderstood(now, key);
                 }
                 self.greet(now, key);
             }
@@ -115,7 +120,7 @@
                 if let Some(call) = session.call.clone() {
                     call.left();
                 }
-                self.answer(now, key, answers::FAILED.to_vec());
+                self.answer(now, key, answers::FAILED.to_vec(), AnswerReason::SpokeEarly);
             }
             Stage::Standing => {
                 let mut lines = 0;
@@ -149,7 +154,7 @@
         let end = match first(&session.head) {
             Ok(Some(end)) => end,
             Ok(None) => return,
-            Err(_) => return self.answer(now, key, answers::FAILED.to_vec()),
+            Err(_) => return self.misunderstood(now, key),
         };
         match opening(&session.head[..end], now, self.longest_guard, &self.known, self.groups) {
             // One that asks for signs of life without end would be answered without end.
@@ -165,7 +170,7 @@
                 if more {
                     self.greet(now, key);
                 } else if !serves {
-                    self.answer(now, key, Vec::new());
+                    self.answer(now, key, Vec::new(), AnswerReason::NoSignOfLife);
                 } else if self.sessions[key].loiters.is_none() {
                     self.loiter(now, key);
                 }
@@ -203,14 +208,18 @@
                     }
                 }
             }
-            Ok(_) => self.answer(now, key, answers::FAILED.to_vec()),
+            Ok(_) => self.misunderstood(now, key),
             Err(fault) => {
                 debug!("a client's first line was not understood: {fault}");
-                self.answer(now, key, answers::FAILED.to_vec());
+                self.misunderstood(now, key);
             }
         }
     }
 
+    pub(super) fn misunderstood(&mut self, now: f64, key: usize) {
+        self.answer(now, key, answers::FAILED.to_vec(), AnswerReason::Misunderstood);
+    }
+
     pub(super) fn client_closed(&mut self, now: f64, key: usize, how: How) {
         let Some(session) = self.sessions.get_mut(key) else { return };
         match session.stage {
@@ -233,15 +242,21 @@
                 }
             }
         }
-        self.close_all(now, key, how);
+        let why = match how {
+            How::Closed => CloseReason::ClientEnded,
+            How::Broken => CloseReason::ClientReset,
+        };
+        self.close_all(now, key, how, why);
     }
 
     /// The session's last word to its client; then it parts.
-    pub(super) fn answer(&mut self, now: f64, key: usize, text: Vec<u8>) {
+    pub(super) fn answer(&mut self, now: f64, key: usize, text: Vec<u8>, why: AnswerReason) {
         if self.sessions[key].stage == Stage::Parting {
             return;
         }
-        debug!("{}: is told {}", self.sessions[key].who(), String::from_utf8_lossy(&text).trim_end());
+        let said = String::from_utf8_lossy(&text);
+        debug!("{}: is told {}, {why}", self.sessions[key].who(), said.trim_end());
+        self.counters.answers.count(why.name());
         self.part(now, key);
         self.end_legs(now, key, How::Closed);
         if !text.is_empty() {
@@ -264,8 +279,26 @@
         self.replace_timer(key, Some(now + self.longest_guard.max(1.0)));
     }
 
+    /// What its client is owed if the session is closed for this.
+    pub(super) fn owed(&self, key: usize, why: CloseReason) -> Owed {
+        let session = &self.sessions[key];
+        let asked = matches!(first(&session.head), Ok(Some(_)));
+        match (session.stage, why) {
+            (_, CloseReason::ClientEnded | CloseReason::ClientReset) | (Stage::Parting, _) => Owed::Nothing,
+            (Stage::Waiting | Stage::Returning, _) => Owed::Answer,
+            (Stage::Greeting, _) if asked => Owed::Answer,
+            (Stage::Greeting, _) => Owed::Nothing,
+            (Stage::Standing, CloseReason::ServerEnded | CloseReason::ServerReset) => Owed::Nothing,
+            (Stage::Standing, _) => Owed::Move,
+        }
+    }
+
     /// Closes what a session still has open, and gives its slot back.
-    pub(super) fn close_all(&mut self, now: f64, key: usize, how: How) {
+    pub(super) fn close_all(&mut self, now: f64, key: usize, how: How, why: CloseReason) {
+        let owed = self.owed(key, why);
+        self.guard.closes(owed, &self.sessions[key].who());
+        debug!("{}: is closed, {why}", self.sessions[key].who());
+        self.counters.closes.count(why.name());
         self.end_legs(now, key, how);
         self.loiter_no_more(key);
         let mut session = self.sessions.remove(key);
--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -1,25 +1,93 @@
 //! Legs: dialled, asked, answered, ended.
 
 use super::{Due, Effect, End, How, Reducer, SETUPS, TO_REFUSE};
+use crate::guard::{Repeating, Sending, Sent};
+use crate::memory::counters::{AnswerReason, CloseReason};
 use crate::memory::sessions::{LegStage, Out, Stage};
 use crate::wire::answers::{self, word, Word};
 use crate::wire::lines::{first, trimmed};
-use dewhead::terms::Ending;
+use dewhead::terms::{Ending, State};
 use log::debug;
 
 /// A connection that could not be begun is tried again so many times while it may come up, evenly.
 const REDIALS: f64 = 20.0;
 
+fn ending_name(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Served => "served",
+        Ending::Error => "error",
+        Ending::Full => "full",
+        Ending::TimedOut => "timed_out",
+        Ending::Unreachable => "unreachable",
+        Ending::Broken => "broken",
+        Ending::Cancelled => "cancelled",
+        Ending::NotSent => "not_sent",
+    }
+}
+
 impl Reducer {
     pub(super) fn send(&mut self, now: f64, key: usize, server: u64, limit: f64) {
+        let allowed = self.may_repeat(now, key, server);
         let session = &mut self.sessions[key];
         let number = session.sent;
         session.sent += 1;
-        if !self.dial_as(now, key, server, now + limit, number) {
+        self.counters.attempts += 1;
+        self.counters.retries += u64::from(number > 0);
+        if !allowed || !self.dial_as(now, key, server, now + limit, number) {
             self.tell_ended(now, key, number, Ending::NotSent, false);
         }
     }
 
+    /// Whether the guard lets a further attempt of this call go to that server.
+    fn may_repeat(&mut self, now: f64, key: usize, server: u64) -> bool {
+        let session = &self.sessions[key];
+        let (Some(rules), Some(to)) = (self.traffic.get(session.traffic), self.servers.0.get(&server)) else {
+            return true;
+        };
+        let facts = Repeating {
+            effect: rules.effect,
+            window: rules.window,
+            out: session.legs.len(),
+            two_at_once: self.two_at_once,
+            ran: session.ran,
+            to: Sent { at: now, zone: to.zone, cell: to.cell },
+        };
+        self.guard.may_repeat(&facts, &session.who()).is_ok()
+    }
+
+    /// Whether the guard lets the leg's request go out now.
+    fn may_send(&mut self, now: f64, leg: usize) -> bool {
+        let out = &self.legs[leg];
+        let session = &self.sessions[out.session];
+        let returning = session.stage == Stage::Returning;
+        let server = self.servers.0.get(&out.server);
+        let facts = Sending {
+            client_waits: returning || session.stage == Stage::Waiting,
+            in_time: now < out.until,
+            server_ready: server.is_some_and(|s| returning || s.state == State::Ready),
+        };
+        let who = session.who();
+        if self.guard.may_send(&facts, &who).is_err() {
+            return false;
+        }
+        // A connection that is put back stood there before, and is no new load.
+        if returning {
+            return true;
+        }
+        let limit = self.balancer.slow_start_limit(now, out.server);
+        let (Some((most, window)), Some(server)) = (limit, self.servers.0.get_mut(&out.server)) else {
+            return true;
+        };
+        while server.recent.front().is_some_and(|at| *at <= now - window) {
+            server.recent.pop_front();
+        }
+        let allowed = self.guard.may_start(server.recent.len(), most, &who).is_ok();
+        if allowed {
+            server.recent.push_back(now);
+        }
+        allowed
+    }
+
     /// Puts a connection back to the server that held it.
     pub(super) fn dial(&mut self, now: f64, key: usize, server: u64, until: f64) {
         if !self.dial_as(now, key, server, until, 0) {
@@ -86,7 +154,7 @@
         if now < until {
             self.replace_timer(key, Some((now + 0.1).min(until)));
         } else {
-            self.answer(now, key, answers::FAILED.to_vec());
+            self.answer(now, key, answers::FAILED.to_vec(), AnswerReason::NotPutBack);
         }
     }
 
@@ -100,6 +168,11 @@
         if !there || !may_go || now >= out.until {
             return self.leg_failed(now, leg, Ending::NotSent);
         }
+        if !self.may_send(now, leg) {
+            return self.leg_failed(now, leg, Ending::NotSent);
+        }
+        let out = &self.legs[leg];
+        let session = &self.sessions[out.session];
         let wait = session.wait.clone();
         let figure = ((out.until - now) * 1000.0).max(1.0) as u64;
         self.effects.push(Effect::Head { leg, session: out.session, wait, figure });
@@ -183,7 +256,7 @@
         match out.stage {
             LegStage::Queued | LegStage::Connecting => self.leg_failed(now, leg, Ending::Unreachable),
             LegStage::Asked => self.leg_failed(now, leg, Ending::Broken),
-            LegStage::Parting => self.close_all(now, key, How::Closed),
+            LegStage::Parting => self.close_all(now, key, How::Closed, CloseReason::ServerEnded),
             LegStage::Standing => {
                 if farewell.is_none() && self.sessions[key].down.between() {
                     // Lost without a word: its client comes again sooner when told to than when cut off.
@@ -194,7 +267,7 @@
                 self.part(now, key);
                 match how {
                     How::Closed => self.effects.push(Effect::Finish(End::Client(key))),
-                    How::Broken => self.close_all(now, key, How::Broken),
+                    How::Broken => self.close_all(now, key, How::Broken, CloseReason::ServerReset),
                 }
             }
         }
@@ -228,7 +301,13 @@
     pub(super) fn end_leg(&mut self, now: f64, leg: usize, ending: Ending, last: bool, how: How) {
         self.tell_leg_ended(now, leg, ending, last);
         let out = self.legs.remove(leg);
-        let session = &self.sessions[out.session];
+        self.counters.endings.count(ending_name(ending));
+        let session = &mut self.sessions[out.session];
+        if out.stage == LegStage::Asked && !matches!(ending, Ending::Full | Ending::NotSent) {
+            if let Some(server) = self.servers.0.get(&out.server) {
+                session.ran.get_or_insert(Sent { at: out.asked_at, zone: server.zone, cell: server.cell });
+            }
+        }
         debug!("{}: leg {} at server {:x} ends: {ending:?}", session.who(), out.number, out.server);
         if let Some(timer) = out.timer {
             self.timers.cancel(timer);
--- a/crates/dewhead-proxy/src/reducer/standing.rs
+++ b/crates/dewhead-proxy/src/reducer/standing.rs
@@ -1,6 +1,7 @@
 //! Standing connections: lines pass and are read along, and clients are sent away politely.
 
 use super::{Effect, End, How, Reducer, LINES, LINE_ENDS, MOST_SILENT, TELL_AGAIN};
+use crate::memory::counters::{AnswerReason, CloseReason};
 use crate::memory::sessions::Stage;
 use crate::wire::answers::{self, word, Word};
 use dewhead::terms::Ending;
@@ -87,15 +88,15 @@
             return;
         }
         self.end_leg(now, leg, ending, true, How::Closed);
-        self.answer(now, key, answers::MOVE.to_vec());
+        self.answer(now, key, answers::MOVE.to_vec(), AnswerReason::Moved);
     }
 
     pub(super) fn session_due(&mut self, now: f64, key: usize) {
         let session = &self.sessions[key];
         match session.stage {
-            Stage::Greeting if !session.head.is_empty() => self.answer(now, key, answers::FAILED.to_vec()),
-            Stage::Greeting => self.close_all(now, key, How::Closed),
-            Stage::Parting => self.close_all(now, key, How::Broken),
+            Stage::Greeting if !session.head.is_empty() => self.misunderstood(now, key),
+            Stage::Greeting => self.close_all(now, key, How::Closed, CloseReason::FirstLineOverdue),
+            Stage::Parting => self.close_all(now, key, How::Broken, CloseReason::Lingered),
             Stage::Waiting => {}
             Stage::Returning => {
                 if let Some((server, wanted)) = &session.returning {
@@ -103,7 +104,7 @@
                     if now < until {
                         self.dial(now, key, server, until);
                     } else {
-                        self.answer(now, key, answers::FAILED.to_vec());
+                        self.answer(now, key, answers::FAILED.to_vec(), AnswerReason::NotPutBack);
                     }
                 }
             }
@@ -113,7 +114,7 @@
                     if let Some(leg) = session.bound() {
                         self.end_leg(now, leg, ending, true, How::Broken);
                     }
-                    self.answer(now, key, Vec::new());
+                    self.answer(now, key, Vec::new(), AnswerReason::LineNeverEnded);
                 }
                 (None, Some(since)) if now - since >= MOST_SILENT - 1e-3 => {
                     self.move_away(now, key, Ending::Broken);
--- a/crates/dewhead-proxy/src/reducer/status.rs
+++ b/crates/dewhead-proxy/src/reducer/status.rs
@@ -1,8 +1,10 @@
 //! What operators are told of the state; nothing is changed here.
 
 use super::Reducer;
+use crate::memory::counters::CloseReason;
 use crate::memory::sessions::Stage;
 use dewhead::terms::State;
+use log::info;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
@@ -45,7 +47,10 @@
             json!({"server": id, "at": server.dial.map(|d| d.to_string()), "state": state,
                    "connections": held.get(id).copied().unwrap_or(0)})
         });
+        let violations: BTreeMap<&str, u64> =
+            self.guard.counts().map(|(violation, count)| (violation.name(), count)).collect();
         json!({
+            "counters": self.counters.told(), "violations": violations,
             "sessions": self.sessions.len(), "by_stage": stages, "legs": self.legs.len(),
             "descriptors": self.descriptors.used, "descriptors_most": self.descriptors.most,
             "accepting": self.descriptors.accepting, "uptime": ((now - self.began) * 1e3).round() / 1e3,
@@ -55,6 +60,22 @@
         })
     }
 
+    /// Promises that were about to be broken so far.
+    pub fn violations(&self) -> u64 {
+        self.guard.total()
+    }
+
+    /// The process ends: who is still owed something is counted, and all counts are told in the log.
+    pub fn end(&mut self) {
+        let keys: Vec<usize> = self.sessions.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            let owed = self.owed(key, CloseReason::ProcessEnded);
+            self.guard.closes(owed, &self.sessions[key].who());
+            self.counters.closes.count(CloseReason::ProcessEnded.name());
+        }
+        info!("counted: {}, violations {}", self.counters.told(), self.guard.total());
+    }
+
     /// Sessions one by one, the first thousand of them.
     pub fn connections(&self) -> Value {
         let one = |(key, session): (usize, &crate::memory::sessions::Session)| {
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -35,6 +35,9 @@
 const BATCH: usize = 1024;
 /// Timers wait for sockets that still have something to say, but for no more batches than this.
 const MOST_UNTICKED: u32 = 16;
+/// At the end accepting is tried so often, after this pause, while it fails: the process is killed 0.1 s later.
+const LAST_ACCEPTS: u32 = 10;
+const LAST_PAUSE: Duration = Duration::from_millis(5);
 /// A configuration that is being written when the signal comes is whole a moment later. It is read again after this, for
 /// so long: a new address of discovery counts four seconds after the signal.
 const REREAD_PAUSE: f64 = 0.1;
@@ -241,16 +244,31 @@
             }
             self.end_broken(now);
             if self.exit {
-                // Who came in time and was not accepted yet would be reset with the listener.
-                while self.accept(now) {}
-                self.exit = self.reducer.is_over(now);
+                self.empty_queue(now);
+                self.exit = self.reducer.is_over(self.clock.now());
             }
         }
+        self.reducer.end();
         self.live(self.clock.now(), Told::Over);
         info!("stopped");
         Ok(())
     }
 
+    /// Who came in time and was not accepted yet would be reset with the listener. Accepting may fail for a moment; and
+    /// where time is up, what those who are in have sent is read and answered here, or not at all.
+    fn empty_queue(&mut self, now: f64) {
+        for _ in 0..LAST_ACCEPTS {
+            while self.accept(now) {}
+            if self.accept_from.is_none() {
+                break;
+            }
+            std::thread::sleep(LAST_PAUSE);
+        }
+        for slot in 0..self.clients.len() {
+            self.read(now, End::Client(slot));
+        }
+    }
+
     fn end_broken(&mut self, now: f64) {
         while let Some(end) = self.broken.pop_front() {
             // What it sent before it broke still counts, above all a last word.
--- /dev/null
+++ b/crates/dewhead-proxy/tests/guard.rs
@@ -0,0 +1,84 @@
+//! The guard finds each broken promise, and lets what is allowed go.
+
+use dewhead::terms::{Effect, Group};
+use dewhead_proxy::guard::{Guard, Owed, Repeating, Sending, Sent, Violation};
+
+const SENT: Sent = Sent { at: 100.0, zone: 1, cell: 4 };
+const SOUND: Sending = Sending { client_waits: true, in_time: true, server_ready: true };
+
+fn repeating(effect: Effect, ran: Option<Sent>, to: Sent) -> Repeating {
+    Repeating { effect, window: 2.0, out: 0, two_at_once: false, ran, to }
+}
+
+#[test]
+fn sending_needs_a_client_time_and_a_ready_server() {
+    let mut guard = Guard::default();
+    assert_eq!(guard.may_send(&SOUND, &"request"), Ok(()));
+    for (facts, violation) in [
+        (Sending { client_waits: false, ..SOUND }, Violation::SentForNobody),
+        (Sending { in_time: false, ..SOUND }, Violation::SentLate),
+        (Sending { server_ready: false, ..SOUND }, Violation::SentToWithdrawnServer),
+    ] {
+        assert_eq!(guard.may_send(&facts, &"request"), Err(violation));
+    }
+    assert_eq!(guard.total(), 3);
+    assert!(guard.counts().all(|(_, count)| count <= 1), "each is counted by its own name");
+}
+
+#[test]
+fn a_repeat_needs_an_effect_a_group_and_a_window_that_bear_it() {
+    let (later, too_late) = (Sent { at: 101.9, ..SENT }, Sent { at: 102.0, ..SENT });
+    let (cell, zone) = (Sent { cell: 5, ..later }, Sent { zone: 2, ..later });
+    let of = |group| Effect::Referenced(group);
+    let mut guard = Guard::default();
+    for (effect, ran, to, allowed) in [
+        (Effect::OnceOnly, None, later, true),
+        (Effect::OnceOnly, Some(SENT), later, false),
+        (Effect::Repeatable, Some(SENT), too_late, true),
+        (of(Group::Cell), Some(SENT), later, true),
+        (of(Group::Cell), Some(SENT), cell, false),
+        (of(Group::Cell), Some(SENT), zone, false),
+        (of(Group::Zone), Some(SENT), cell, true),
+        (of(Group::Zone), Some(SENT), zone, false),
+        (of(Group::All), Some(SENT), zone, true),
+        (of(Group::All), Some(SENT), too_late, false),
+    ] {
+        let outcome = guard.may_repeat(&repeating(effect, ran, to), &"request");
+        let wanted = if allowed { Ok(()) } else { Err(Violation::RepeatedUnsafely) };
+        assert_eq!(outcome, wanted, "{effect:?} from {ran:?} to {to:?}");
+    }
+}
+
+#[test]
+fn attempts_overlap_only_where_that_is_allowed() {
+    let mut guard = Guard::default();
+    for (effect, two_at_once, allowed) in [
+        (Effect::Repeatable, true, true),
+        (Effect::Repeatable, false, false),
+        (Effect::OnceOnly, true, false),
+        (Effect::Referenced(Group::All), true, false),
+    ] {
+        let facts = Repeating { out: 1, two_at_once, ..repeating(effect, None, SENT) };
+        let wanted = if allowed { Ok(()) } else { Err(Violation::Overlapped) };
+        assert_eq!(guard.may_repeat(&facts, &"request"), wanted, "{effect:?}, two at once: {two_at_once}");
+    }
+}
+
+#[test]
+fn a_close_counts_where_something_is_owed() {
+    let mut guard = Guard::default();
+    guard.closes(Owed::Nothing, &"request");
+    assert_eq!(guard.total(), 0);
+    guard.closes(Owed::Answer, &"request");
+    guard.closes(Owed::Move, &"request");
+    let found: Vec<Violation> = guard.counts().filter(|(_, count)| *count > 0).map(|(one, _)| one).collect();
+    assert_eq!(found, [Violation::ClosedUnanswered, Violation::CutOff]);
+}
+
+#[test]
+fn a_server_in_slow_start_is_sent_no_more_than_its_limit() {
+    let mut guard = Guard::default();
+    assert_eq!(guard.may_start(0, 0.2, &"request"), Ok(()), "one request is always let go");
+    assert_eq!(guard.may_start(5, 5.9, &"request"), Ok(()));
+    assert_eq!(guard.may_start(6, 5.9, &"request"), Err(Violation::SlowStartExceeded));
+}
--- a/crates/dewhead-proxy/tests/interleavings.rs
+++ b/crates/dewhead-proxy/tests/interleavings.rs
@@ -201,6 +201,7 @@
         play.tell(Event::Closed(End::Client(client), How::Broken), None);
     }
     play.later(10.0);
+    assert_eq!(play.stand.reducer.violations(), 0, "the guard found a promise broken");
     assert_eq!(play.stand.reducer.open(), (0, 0, 0), "a slot or a descriptor was not given back");
     let waiting = play.stand.reducer.timers();
     assert!(waiting <= 8, "{waiting} timers wait, and nothing is open");
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -125,6 +125,15 @@
         })
     }
 
+    pub fn traffic(&self) -> &[TrafficType] {
+        &self.traffic
+    }
+
+    /// Whether two attempts of a call may be out at the same time.
+    pub fn two_at_once(&self) -> bool {
+        self.legs.two_at_once
+    }
+
     /// The traffic types and the names, for hosts that place by a rule of their own.
     pub fn traffic_and_names(self) -> (Vec<TrafficType>, Known) {
         (self.traffic, self.known)
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -29,6 +29,8 @@
 /// Rule 4's budget is reckoned by connections and spent to this multiple: a connection asks its load all its life, and
 /// counts here as if it asked for all of it in the warm-up.
 const MARGIN: f64 = 2.0;
+/// Where rule 4 allows fewer calls than this in a window, it puts three roots of them and three down to chance, else two.
+const FEW_CALLS: f64 = 30.0;
 /// A server takes new connections up to this part of its limit; the rest is for what changes of itself.
 const ROOM: f64 = 0.85;
 /// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
@@ -518,16 +520,10 @@
     /// servers were lost, or that was killed, holds none. One that starts is filled over its warm-up; the budget fills
     /// at that pace times the present share, the multiple and a margin. Beyond it there are turns.
     fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
-        let near = self.place.factor(server.zone, 1.0).max(0.0);
-        let agreed = self.shares.standing / self.siblings / self.most_near.get().max(f64::MIN_POSITIVE);
-        let held = self.held_by_weight.get().max(agreed);
-        let part = near * held * self.size(server) * self.thaw.present(age);
-        // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
-        // makes it fall.
-        let fill = part * (MARGIN * self.thaw.multiple / self.thaw.warm_after).min(1.0 / self.thaw.window);
+        let a_window = self.budget_of_a_window(server, age);
+        let fill = a_window / self.thaw.window;
         let budget = server.budget.get() + fill * (now - server.budget_at.get()).max(0.0);
         // What finds no call in half a window lapses: what many balancers had saved up came to one server in a burst.
-        let a_window = fill * self.thaw.window;
         let most = (0.5 * a_window).max(1.0) + (0.5 * a_window).min(1.0);
         server.budget.set(budget - (budget - most).ceil().max(0.0));
         server.budget_at.set(now);
@@ -535,6 +531,30 @@
         server.budget.get() >= 1.0 || (whose == self.position && server.turn.get() != turn)
     }
 
+    /// This balancer's part of what a cold server is sent in a window.
+    fn budget_of_a_window(&self, server: &Server, age: f64) -> f64 {
+        let near = self.place.factor(server.zone, 1.0).max(0.0);
+        let agreed = self.shares.standing / self.siblings / self.most_near.get().max(f64::MIN_POSITIVE);
+        let held = self.held_by_weight.get().max(agreed);
+        let part = near * held * self.size(server) * self.thaw.present(age);
+        // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
+        // makes it fall.
+        part * (MARGIN * self.thaw.multiple * self.thaw.window / self.thaw.warm_after).min(1.0)
+    }
+
+    /// What all balancers together may send a server in slow start in a window, as this one reckons it, and how long the
+    /// window is in seconds; none once the server is warm.
+    pub fn slow_start_limit(&self, now: f64, id: u64) -> Option<(f64, f64)> {
+        let server = self.named(id)?;
+        let age = now - server.started.get();
+        if age >= self.thaw.warm_after {
+            return None;
+        }
+        let allowed = self.siblings * self.budget_of_a_window(&server, age);
+        let (roots, more) = if allowed < FEW_CALLS { (3.0, 3.0) } else { (2.0, 2.0) };
+        Some((allowed + roots * allowed.sqrt() + more, self.thaw.window))
+    }
+
     /// Rule 4 puts two requests a window down to chance, however little a server can do. Turns of a window each, which
     /// all balancers reckon alike, let one of them send one: two turns meet in any window, whoever else there is.
     fn turn(&self, now: f64, server: &Server) -> (f64, f64) {
