--- a/crates/dewhead-proxy/tests/system_calls.rs
+++ b/crates/dewhead-proxy/tests/system_calls.rs
@@ -7,6 +7,7 @@
 use dewhead_faults::plan::Plan;
 use rustix::process::Signal;
 use serde_json::{json, Value};
+use std::time::Duration;
 
 /// One attempt a call, and time enough for it on a busy machine.
 fn one_attempt() -> Value {
@@ -60,3 +61,32 @@
     proxy.configure(&whole);
     until("the new discovery is asked", || new.is_asked());
 }
+
+/// Clients that came while the process was about to end: accepting them fails again and again, and they are answered.
+#[test]
+fn who_waits_in_the_queue_is_answered_though_accepting_fails() {
+    let plan = Plan { seed: 9, accept: 0.5, ..Plan::default() };
+    let (server, discovery) = (Place::new(), Place::new());
+    let known = vec![entry("s-1", server.at, "ready")];
+    let mut proxy = Proxy::start_with(&one_attempt(), discovery.at, known.clone(), &faults(&plan));
+    let _watch = discovery.watch(2, true, known);
+    proxy.tell(Signal::TERM);
+    proxy.logs("stopping: 0 sessions are open");
+    proxy.tell(Signal::STOP);
+    let mut clients: Vec<_> = (1..=8).map(|id| proxy.client(id, "feed", 2000)).collect();
+    // Until nobody comes any more by its clock.
+    std::thread::sleep(Duration::from_millis(600));
+    proxy.tell(Signal::CONT);
+    let standing: Vec<_> = clients
+        .iter()
+        .map(|_| {
+            let (served, _) = server.asked();
+            say(&served, "UP 1\r\n");
+            served
+        })
+        .collect();
+    for client in &mut clients {
+        assert_eq!(line(client), "UP 1\r\n");
+    }
+    drop(standing);
+}
