--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -1,22 +1,23 @@
 //! The loop: what the sockets have becomes events, and effects become reads and writes. One clock read a turn, and
 //! discovery's events before all others.
 
+mod accept;
+mod control;
+
 use crate::clock::Clock;
 use crate::control::desk::Desk;
-use crate::control::words::{self, Request};
 use crate::lifecycle::notify::{Notify, Word};
-use crate::lifecycle::stages::{Act, Life, Stage, Told};
+use crate::lifecycle::stages::{Act, Life, Told};
 use crate::memory::links::Link;
 use crate::reducer::{Effect, End, Event, How, Reducer};
 use crate::transient::{is_transient, persist};
 use crate::wire::http;
-use log::{debug, error, info, warn};
+use log::{debug, error, info};
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::net::SocketAddr;
-use std::os::fd::AsFd;
 use std::time::Duration;
 
 const LISTENER: Token = Token(0);
@@ -29,21 +30,14 @@
 const READ: usize = 8192;
 /// One socket is read so often before the others have their turn.
 const READS: usize = 8;
-/// So many clients are accepted before those who are in have their turn.
-const ACCEPTS: usize = 32;
 /// So much is taken from one poll at the most.
 const BATCH: usize = 1024;
 /// Timers wait for sockets that still have something to say, but for no more batches than this.
 const MOST_UNTICKED: u32 = 16;
-/// At the end accepting is tried so often, after this pause, while it fails: the process is killed 0.1 s later.
-const LAST_ACCEPTS: u32 = 10;
-const LAST_PAUSE: Duration = Duration::from_millis(5);
 /// A configuration that is being written when the signal comes is whole a moment later. It is read again after this, for
 /// so long: a new address of discovery counts four seconds after the signal.
 const REREAD_PAUSE: f64 = 0.1;
 const REREAD_FOR: f64 = 3.0;
-/// Where accepting fails, it is tried again after this.
-const ACCEPT_PAUSE: f64 = 0.05;
 
 /// Reads the configuration again, and says in the log what is wrong with it unless told to be quiet. What of it changes
 /// while the proxy runs, as `Event::Renewed` has it; none while it can't be read.
@@ -254,21 +248,6 @@
         Ok(())
     }
 
-    /// Who came in time and was not accepted yet would be reset with the listener. Accepting may fail for a moment; and
-    /// where time is up, what those who are in have sent is read and answered here, or not at all.
-    fn empty_queue(&mut self, now: f64) {
-        for _ in 0..LAST_ACCEPTS {
-            while self.accept(now) {}
-            if self.accept_from.is_none() {
-                break;
-            }
-            std::thread::sleep(LAST_PAUSE);
-        }
-        for slot in 0..self.clients.len() {
-            self.read(now, End::Client(slot));
-        }
-    }
-
     fn end_broken(&mut self, now: f64) {
         while let Some(end) = self.broken.pop_front() {
             // What it sent before it broke still counts, above all a last word.
@@ -279,12 +258,6 @@
         }
     }
 
-    /// Opens the control socket.
-    pub fn open_desk(&mut self, path: &std::path::Path) -> io::Result<()> {
-        self.desk = Some(Desk::open(path, self.poll.registry())?);
-        Ok(())
-    }
-
     /// The life goes on, and what it asks for is done.
     fn live(&mut self, now: f64, told: Told) {
         for act in self.life.told(told) {
@@ -326,128 +299,6 @@
         self.reread = (!done).then_some(Reread { at: now + REREAD_PAUSE, ..again });
     }
 
-    /// Somebody is at the control socket.
-    fn visited(&mut self, now: f64, whose: Option<usize>) {
-        let Some(desk) = &mut self.desk else { return };
-        let Some(place) = whose else { return desk.accept(self.poll.registry()) };
-        desk.flush(place);
-        for line in desk.read(place) {
-            let outcome = match words::request(&line) {
-                Ok(Request::Succeed) => match self.hand_on(now, place) {
-                    Ok(()) => continue,
-                    Err(fault) => Err(fault),
-                },
-                Ok(Request::Succeeded(seconds)) => self.retire(now, place, seconds),
-                Ok(request) => self.asked(now, request),
-                Err(fault) => Err(fault),
-            };
-            if let Some(desk) = &mut self.desk {
-                desk.answer(place, &words::answer(outcome));
-            }
-        }
-        if self.heir == Some(place) && !self.desk.as_ref().is_some_and(|d| d.holds(place)) {
-            // It died, or could not start: nothing has changed here.
-            self.heir = None;
-            warn!("the process that was to take this one's place has gone; serving on");
-        }
-        self.reap();
-    }
-
-    /// A process that was started here and has ended leaves nothing behind.
-    fn reap(&mut self) {
-        if let Some(child) = &mut self.child {
-            if !matches!(child.try_wait(), Ok(None)) {
-                self.child = None;
-            }
-        }
-    }
-
-    /// Gives a successor the listening socket and what was learned. Both accept from then on, until it says that it has
-    /// taken the place, or goes.
-    fn hand_on(&mut self, now: f64, place: usize) -> Result<(), String> {
-        let stage = self.life.stage();
-        if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
-            return Err(format!("not while the process is {}", stage.name()));
-        }
-        if self.heir.is_some() {
-            return Err("another process is about to take this one's place".to_owned());
-        }
-        let (Some(listener), Some(desk)) = (&self.listener, &mut self.desk) else {
-            return Err("there is no listening socket to hand on".to_owned());
-        };
-        let answer = words::answer(Ok(serde_json::json!({"handed": self.reducer.hand_on(now)})));
-        desk.answer_with(place, &answer, listener.as_fd())
-            .map_err(|e| format!("the socket can't be handed on: {e}"))?;
-        desk.flush(place);
-        self.heir = Some(place);
-        info!("the listening socket is handed on");
-        Ok(())
-    }
-
-    /// The successor serves: this process accepts no more, and its clients leave over so many seconds.
-    fn retire(&mut self, now: f64, place: usize, seconds: Option<f64>) -> Result<serde_json::Value, String> {
-        if self.heir != Some(place) {
-            return Err("only who was given the listening socket can take the place".to_owned());
-        }
-        self.heir = None;
-        if let Some(mut listener) = self.listener.take() {
-            // Dropped in the next moment, whether the poll lets it go or not.
-            let _ = self.poll.registry().deregister(&mut listener);
-        }
-        if let Some(desk) = &mut self.desk {
-            desk.close_door(self.poll.registry());
-        }
-        self.live(now, Told::Succeeded);
-        let spread = seconds.unwrap_or_else(|| self.reducer.usual_spread());
-        self.tell(now, Event::Retire(spread), &[]);
-        Ok(serde_json::json!({"stage": self.life.stage().name()}))
-    }
-
-    fn asked(&mut self, now: f64, request: Request) -> Result<serde_json::Value, String> {
-        let refused = |stage: Stage| format!("not while the process is {}", stage.name());
-        let stage = self.life.stage();
-        match request {
-            Request::Status => {}
-            Request::Connections => return Ok(self.reducer.connections()),
-            Request::Drain(seconds) => {
-                if !matches!(stage, Stage::Ready | Stage::Waiting) {
-                    return Err(refused(stage));
-                }
-                self.live(now, Told::Drain);
-                let spread = seconds.unwrap_or_else(|| self.reducer.usual_spread());
-                self.tell(now, Event::Drain(spread), &[]);
-            }
-            Request::Undrain => {
-                if stage != Stage::Draining {
-                    return Err(refused(stage));
-                }
-                self.live(now, Told::Undrain);
-            }
-            Request::Reload => self.live(now, Told::Renew),
-            Request::Handover(program) => {
-                self.reap();
-                if self.heir.is_some() || self.child.is_some() {
-                    return Err("another process is about to take this one's place".to_owned());
-                }
-                if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
-                    return Err(refused(stage));
-                }
-                let starts = self.successor.as_mut().ok_or("no process can be started here")?;
-                let child = starts(program.as_deref())?;
-                info!(process = child.id(); "a process is started to take this one's place");
-                self.child = Some(child);
-            }
-            // Answered where the visitor is known.
-            Request::Succeed | Request::Succeeded(_) => {}
-        }
-        let mut status = self.reducer.status(now);
-        status["stage"] = self.life.stage().name().into();
-        status["build"] = env!("CARGO_PKG_VERSION").into();
-        status["process"] = std::process::id().into();
-        status["handing_over"] = (self.heir.is_some() || self.child.is_some()).into();
-        Ok(status)
-    }
-
     fn link(&mut self, end: End) -> Option<&mut Link> {
         match end {
             End::Client(slot) => self.clients.get_mut(slot)?.as_mut(),
@@ -455,37 +306,6 @@
         }
     }
 
-    /// Accepts some; whether more may wait.
-    fn accept(&mut self, now: f64) -> bool {
-        self.accept_from = None;
-        for _ in 0..ACCEPTS {
-            if !self.accepting {
-                break;
-            }
-            let Some(listener) = &self.listener else { return false };
-            match listener.accept() {
-                Ok((socket, _)) => {
-                    self.accept_failed = false;
-                    self.fresh = Some(socket);
-                    self.tell(now, Event::Accepted, &[]);
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(e) => {
-                    if !std::mem::replace(&mut self.accept_failed, true) {
-                        warn!("accepting: {e}");
-                    }
-                    self.accept_from = Some(now + ACCEPT_PAUSE);
-                    return false;
-                }
-            }
-        }
-        // More may wait: for the next turn, or where no descriptors are left for when there are.
-        self.accept_from = Some(now);
-        self.accepting
-    }
-
     fn ready(&mut self, now: f64, end: End, readable: bool) {
         let Some(link) = self.link(end) else { return };
         if link.connecting {
@@ -712,13 +532,6 @@
         places[slot] = Some(Link::new(socket, connecting));
     }
 
-    fn admit(&mut self, now: f64, slot: usize) {
-        match self.fresh.take() {
-            Some(socket) => self.keep(End::Client(slot), socket, false),
-            None => self.tell(now, Event::Closed(End::Client(slot), How::Broken), &[]),
-        }
-    }
-
     fn dial(&mut self, now: f64, leg: usize, to: SocketAddr) {
         match TcpStream::connect(to) {
             Ok(socket) => self.keep(End::Server(leg), socket, true),
--- /dev/null
+++ b/crates/dewhead-proxy/src/turn/control.rs
@@ -0,0 +1,140 @@
+//! The control socket's part of the loop: what operators and a successor ask for.
+
+use super::Turn;
+use crate::control::desk::Desk;
+use crate::control::words::{self, Request};
+use crate::lifecycle::stages::{Stage, Told};
+use crate::reducer::Event;
+use log::{info, warn};
+use std::io;
+use std::os::fd::AsFd;
+
+impl Turn {
+    /// Opens the control socket.
+    pub fn open_desk(&mut self, path: &std::path::Path) -> io::Result<()> {
+        self.desk = Some(Desk::open(path, self.poll.registry())?);
+        Ok(())
+    }
+
+    /// Somebody is at the control socket.
+    pub(super) fn visited(&mut self, now: f64, whose: Option<usize>) {
+        let Some(desk) = &mut self.desk else { return };
+        let Some(place) = whose else { return desk.accept(self.poll.registry()) };
+        desk.flush(place);
+        for line in desk.read(place) {
+            let outcome = match words::request(&line) {
+                Ok(Request::Succeed) => match self.hand_on(now, place) {
+                    Ok(()) => continue,
+                    Err(fault) => Err(fault),
+                },
+                Ok(Request::Succeeded(seconds)) => self.retire(now, place, seconds),
+                Ok(request) => self.asked(now, request),
+                Err(fault) => Err(fault),
+            };
+            if let Some(desk) = &mut self.desk {
+                desk.answer(place, &words::answer(outcome));
+            }
+        }
+        if self.heir == Some(place) && !self.desk.as_ref().is_some_and(|d| d.holds(place)) {
+            // It died, or could not start: nothing has changed here.
+            self.heir = None;
+            warn!("the process that was to take this one's place has gone; serving on");
+        }
+        self.reap();
+    }
+
+    /// A process that was started here and has ended leaves nothing behind.
+    fn reap(&mut self) {
+        if let Some(child) = &mut self.child {
+            if !matches!(child.try_wait(), Ok(None)) {
+                self.child = None;
+            }
+        }
+    }
+
+    /// Gives a successor the listening socket and what was learned. Both accept from then on, until it says that it has
+    /// taken the place, or goes.
+    fn hand_on(&mut self, now: f64, place: usize) -> Result<(), String> {
+        let stage = self.life.stage();
+        if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
+            return Err(format!("not while the process is {}", stage.name()));
+        }
+        if self.heir.is_some() {
+            return Err("another process is about to take this one's place".to_owned());
+        }
+        let (Some(listener), Some(desk)) = (&self.listener, &mut self.desk) else {
+            return Err("there is no listening socket to hand on".to_owned());
+        };
+        let answer = words::answer(Ok(serde_json::json!({"handed": self.reducer.hand_on(now)})));
+        desk.answer_with(place, &answer, listener.as_fd())
+            .map_err(|e| format!("the socket can't be handed on: {e}"))?;
+        desk.flush(place);
+        self.heir = Some(place);
+        info!("the listening socket is handed on");
+        Ok(())
+    }
+
+    /// The successor serves: this process accepts no more, and its clients leave over so many seconds.
+    fn retire(&mut self, now: f64, place: usize, seconds: Option<f64>) -> Result<serde_json::Value, String> {
+        if self.heir != Some(place) {
+            return Err("only who was given the listening socket can take the place".to_owned());
+        }
+        self.heir = None;
+        if let Some(mut listener) = self.listener.take() {
+            // Dropped in the next moment, whether the poll lets it go or not.
+            let _ = self.poll.registry().deregister(&mut listener);
+        }
+        if let Some(desk) = &mut self.desk {
+            desk.close_door(self.poll.registry());
+        }
+        self.live(now, Told::Succeeded);
+        let spread = seconds.unwrap_or_else(|| self.reducer.usual_spread());
+        self.tell(now, Event::Retire(spread), &[]);
+        Ok(serde_json::json!({"stage": self.life.stage().name()}))
+    }
+
+    fn asked(&mut self, now: f64, request: Request) -> Result<serde_json::Value, String> {
+        let refused = |stage: Stage| format!("not while the process is {}", stage.name());
+        let stage = self.life.stage();
+        match request {
+            Request::Status => {}
+            Request::Connections => return Ok(self.reducer.connections()),
+            Request::Drain(seconds) => {
+                if !matches!(stage, Stage::Ready | Stage::Waiting) {
+                    return Err(refused(stage));
+                }
+                self.live(now, Told::Drain);
+                let spread = seconds.unwrap_or_else(|| self.reducer.usual_spread());
+                self.tell(now, Event::Drain(spread), &[]);
+            }
+            Request::Undrain => {
+                if stage != Stage::Draining {
+                    return Err(refused(stage));
+                }
+                self.live(now, Told::Undrain);
+            }
+            Request::Reload => self.live(now, Told::Renew),
+            Request::Handover(program) => {
+                self.reap();
+                if self.heir.is_some() || self.child.is_some() {
+                    return Err("another process is about to take this one's place".to_owned());
+                }
+                if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
+                    return Err(refused(stage));
+                }
+                let starts = self.successor.as_mut().ok_or("no process can be started here")?;
+                let child = starts(program.as_deref())?;
+                info!(process = child.id(); "a process is started to take this one's place");
+                self.child = Some(child);
+            }
+            // Answered where the visitor is known.
+            Request::Succeed | Request::Succeeded(_) => {}
+        }
+        let mut status = self.reducer.status(now);
+        status["stage"] = self.life.stage().name().into();
+        status["build"] = env!("CARGO_PKG_VERSION").into();
+        status["process"] = std::process::id().into();
+        status["handing_over"] = (self.heir.is_some() || self.child.is_some()).into();
+        Ok(status)
+    }
+}
