--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -75,13 +75,13 @@
             return true;
         }
         let limit = self.balancer.slow_start_limit(now, out.server);
-        let (Some((most, window)), Some(server)) = (limit, self.servers.0.get_mut(&out.server)) else {
+        let (Some(limit), Some(server)) = (limit, self.servers.0.get_mut(&out.server)) else {
             return true;
         };
-        while server.recent.front().is_some_and(|at| *at <= now - window) {
+        while server.recent.front().is_some_and(|at| *at <= now - limit.window) {
             server.recent.pop_front();
         }
-        let allowed = self.guard.may_start(server.recent.len(), most, &who).is_ok();
+        let allowed = self.guard.may_start(server.recent.len(), limit.most, &who).is_ok();
         if allowed {
             server.recent.push_back(now);
         }
--- a/crates/dewhead/src/lib.rs
+++ b/crates/dewhead/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod outward;
 pub mod refusal;
 pub mod rules;
+pub mod slow_start;
 pub mod state;
 pub mod terms;
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -6,9 +6,9 @@
 //! method of that handle. Every method takes the clock; the module has none, and no I/O. Words: `terms.rs`.
 
 use crate::refusal::{Refusal, Skipped};
-use crate::state::{Balancer, Call, Health, Leg, Location, Place, Server, Shares, Stage, Thaw, Watch};
+use crate::slow_start::{rank, GOLDEN};
+use crate::state::{Balancer, Call, Health, Leg, Location, Place, Server, Shares, Stage, Watch};
 use crate::terms::{Effect, Ending, Group, Listed, News, State, TrafficType, Wanted};
-use oorandom::Rand64;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
@@ -26,11 +26,6 @@
 const EARLY: f64 = 1e-3;
 /// A leg not yet answered counts as this many mean connections more.
 const WAITING: f64 = 2.0;
-/// Rule 4's budget is reckoned by connections and spent to this multiple: a connection asks its load all its life, and
-/// counts here as if it asked for all of it in the warm-up.
-const MARGIN: f64 = 2.0;
-/// Where rule 4 allows fewer calls than this in a window, it puts three roots of them and three down to chance, else two.
-const FEW_CALLS: f64 = 30.0;
 /// A server takes new connections up to this part of its limit; the rest is for what changes of itself.
 const ROOM: f64 = 0.85;
 /// A cut of a limit shows in this part of the longest guard time; until then no further one is made.
@@ -41,8 +36,6 @@
 const APART: u32 = 16;
 /// Connections come home where Eq. 1 would have them there at this part of the price of crossing.
 const EASE: f64 = 0.7;
-/// The golden section: its multiples spread evenly between 0 and 1, however many there are.
-const GOLDEN: f64 = 0.618_033_988_749_895;
 /// A server without a group's calls counts as so many mean connections more, and one for each part it ranks lower.
 const BASE: f64 = 2.0;
 /// A server that holds as many as the mean one counts as this many mean connections more, where the list tells.
@@ -84,7 +77,7 @@
         self.abroad.set((1.0 - self.parts * home) / (1.0 + self.parts * (1.0 - home)));
     }
 
-    fn factor(&self, zone: u32, part_of_price: f64) -> f64 {
+    pub(crate) fn factor(&self, zone: u32, part_of_price: f64) -> f64 {
         1.0 - f64::from(u8::from(zone != self.home)) * (1.0 - self.abroad.get()) * part_of_price
     }
 }
@@ -117,13 +110,6 @@
     }
 }
 
-impl Thaw {
-    /// 1 when warm, the cold share at the start, evenly between.
-    fn present(&self, age: f64) -> f64 {
-        self.cold_share + (1.0 - self.cold_share) * (age / self.warm_after).clamp(0.0, 1.0)
-    }
-}
-
 impl Health {
     fn judge(&self, now: f64, well: bool) {
         self.outcomes.set((self.outcomes.get() << 1 | u32::from(well)) & ((1 << FEW) - 1));
@@ -190,7 +176,7 @@
     }
 
     /// What the list's weight says of a server's size: nothing where it moves with load.
-    fn size(&self, server: &Server) -> f64 {
+    pub(crate) fn size(&self, server: &Server) -> f64 {
         if self.live {
             1.0
         } else {
@@ -285,7 +271,7 @@
         }
     }
 
-    fn named(&self, id: u64) -> Option<Rc<Server>> {
+    pub(crate) fn named(&self, id: u64) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         servers.binary_search_by_key(&id, |s| s.id).ok().map(|at| servers[at].clone())
     }
@@ -342,7 +328,7 @@
     }
 
     /// The mean load of a standing connection here; one where nothing stands.
-    fn mean_load(&self) -> f64 {
+    pub(crate) fn mean_load(&self) -> f64 {
         match self.held.get() {
             0 => 1.0,
             held => self.load.get() as f64 / GRAIN / f64::from(held),
@@ -515,68 +501,11 @@
         }
     }
 
-    /// Rule 4: this balancer's part of what a cold server can take. It holds so many near connections for a server's
-    /// weight, by the part of the price as in R_i, or its part of what shops have agreed on is as many: one whose
-    /// servers were lost, or that was killed, holds none. One that starts is filled over its warm-up; the budget fills
-    /// at that pace times the present share, the multiple and a margin. Beyond it there are turns.
-    fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
-        let a_window = self.budget_of_a_window(server, age);
-        let fill = a_window / self.thaw.window;
-        let budget = server.budget.get() + fill * (now - server.budget_at.get()).max(0.0);
-        // What finds no call in half a window lapses: what many balancers had saved up came to one server in a burst.
-        let most = (0.5 * a_window).max(1.0) + (0.5 * a_window).min(1.0);
-        server.budget.set(budget - (budget - most).ceil().max(0.0));
-        server.budget_at.set(now);
-        let (turn, whose) = self.turn(now, server);
-        server.budget.get() >= 1.0 || (whose == self.position && server.turn.get() != turn)
-    }
-
-    /// This balancer's part of what a cold server is sent in a window.
-    fn budget_of_a_window(&self, server: &Server, age: f64) -> f64 {
-        let near = self.place.factor(server.zone, 1.0).max(0.0);
-        let agreed = self.shares.standing / self.siblings / self.most_near.get().max(f64::MIN_POSITIVE);
-        let held = self.held_by_weight.get().max(agreed);
-        let part = near * held * self.size(server) * self.thaw.present(age);
-        // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
-        // makes it fall.
-        part * (MARGIN * self.thaw.multiple * self.thaw.window / self.thaw.warm_after).min(1.0)
-    }
-
-    /// What all balancers together may send a server in slow start in a window, as this one reckons it, and how long the
-    /// window is in seconds; none once the server is warm.
-    pub fn slow_start_limit(&self, now: f64, id: u64) -> Option<(f64, f64)> {
-        let server = self.named(id)?;
-        let age = now - server.started.get();
-        if age >= self.thaw.warm_after {
-            return None;
-        }
-        let allowed = self.siblings * self.budget_of_a_window(&server, age);
-        let (roots, more) = if allowed < FEW_CALLS { (3.0, 3.0) } else { (2.0, 2.0) };
-        Some((allowed + roots * allowed.sqrt() + more, self.thaw.window))
-    }
-
-    /// Rule 4 puts two requests a window down to chance, however little a server can do. Turns of a window each, which
-    /// all balancers reckon alike, let one of them send one: two turns meet in any window, whoever else there is.
-    fn turn(&self, now: f64, server: &Server) -> (f64, f64) {
-        let turn = ((now - server.started.get()) / self.thaw.window).floor();
-        (turn, ((rank(0, server.id) + turn * GOLDEN).fract() * self.siblings).floor())
-    }
-
     /// Most set-ups fail, whichever server they are at: what all servers share is at fault, not they.
     fn shared_fault(&self, now: f64) -> bool {
         self.shared.sick(now, self.longest_guard, FEW / 2)
     }
 
-    fn count_sent(&self, now: f64, server: &Server, load: f64) {
-        if now - server.started.get() < 3.0 * self.thaw.warm_after {
-            // What no budget was left for went by its turn.
-            let left = server.budget.get() - (load / self.mean_load()).max(1.0);
-            server.budget.set(left + f64::from(u8::from(server.budget.get() < 1.0)));
-            server.turn.set(self.turn(now, server).0);
-        }
-        server.tried_at.set(now);
-    }
-
     /// Cuts a server's limit, and ends politely as many own connections as go beyond it; their clients come
     /// again and are placed where there is room. Bounded: once a settling time, a quarter of them at most.
     fn overdriven(&self, now: f64, server: &Rc<Server>, part: f64) {
@@ -623,11 +552,6 @@
     }
 }
 
-/// A figure from 0 to 1 that is any balancer's for this group and server.
-fn rank(group: u64, server: u64) -> f64 {
-    Rand64::new(u128::from(group) << 32 ^ u128::from(server)).rand_float()
-}
-
 impl Call {
     /// Rule 2, the servers: where a leg of a referenced call that may have run can be sent again.
     fn allows(&self, now: f64, server: &Server) -> bool {
--- /dev/null
+++ b/crates/dewhead/src/slow_start.rs
@@ -0,0 +1,92 @@
+//! Slow start, rule 4: how much a server that has just started is sent by all balancers together. Each balancer spends a
+//! budget of its own, which adds up to what the settings allow, and takes turns with the others beyond it.
+
+use crate::state::{Balancer, Server, Thaw};
+use oorandom::Rand64;
+
+/// Rule 4's budget is reckoned by connections and spent to this multiple: a connection asks its load all its life, and
+/// counts here as if it asked for all of it in the warm-up.
+const MARGIN: f64 = 2.0;
+/// Where rule 4 allows fewer calls than this in a window, it puts three roots of them and three down to chance, else two.
+const FEW_CALLS: f64 = 30.0;
+/// The golden section: its multiples spread evenly between 0 and 1, however many there are.
+pub(crate) const GOLDEN: f64 = 0.618_033_988_749_895;
+
+/// What all balancers together may send a server in slow start.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStartLimit {
+    /// Requests in any window.
+    pub most: f64,
+    /// The window's length in seconds.
+    pub window: f64,
+}
+
+impl Thaw {
+    /// 1 when warm, the cold share at the start, evenly between.
+    fn present(&self, age: f64) -> f64 {
+        self.cold_share + (1.0 - self.cold_share) * (age / self.warm_after).clamp(0.0, 1.0)
+    }
+}
+
+impl Balancer {
+    /// Rule 4: this balancer's part of what a cold server can take. It holds so many near connections for a server's
+    /// weight, by the part of the price as in R_i, or its part of what shops have agreed on is as many: one whose
+    /// servers were lost, or that was killed, holds none. One that starts is filled over its warm-up; the budget fills
+    /// at that pace times the present share, the multiple and a margin. Beyond it there are turns.
+    pub(crate) fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
+        let a_window = self.budget_of_a_window(server, age);
+        let fill = a_window / self.thaw.window;
+        let budget = server.budget.get() + fill * (now - server.budget_at.get()).max(0.0);
+        // What finds no call in half a window lapses: what many balancers had saved up came to one server in a burst.
+        let most = (0.5 * a_window).max(1.0) + (0.5 * a_window).min(1.0);
+        server.budget.set(budget - (budget - most).ceil().max(0.0));
+        server.budget_at.set(now);
+        let (turn, whose) = self.turn(now, server);
+        server.budget.get() >= 1.0 || (whose == self.position && server.turn.get() != turn)
+    }
+
+    /// This balancer's part of what a cold server is sent in a window.
+    fn budget_of_a_window(&self, server: &Server, age: f64) -> f64 {
+        let near = self.place.factor(server.zone, 1.0).max(0.0);
+        let agreed = self.shares.standing / self.siblings / self.most_near.get().max(f64::MIN_POSITIVE);
+        let held = self.held_by_weight.get().max(agreed);
+        let part = near * held * self.size(server) * self.thaw.present(age);
+        // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
+        // makes it fall.
+        part * (MARGIN * self.thaw.multiple * self.thaw.window / self.thaw.warm_after).min(1.0)
+    }
+
+    /// The limit of a server in slow start as this balancer reckons it; none once the server is warm.
+    pub fn slow_start_limit(&self, now: f64, id: u64) -> Option<SlowStartLimit> {
+        let server = self.named(id)?;
+        let age = now - server.started.get();
+        if age >= self.thaw.warm_after {
+            return None;
+        }
+        let allowed = self.siblings * self.budget_of_a_window(&server, age);
+        let (roots, more) = if allowed < FEW_CALLS { (3.0, 3.0) } else { (2.0, 2.0) };
+        Some(SlowStartLimit { most: allowed + roots * allowed.sqrt() + more, window: self.thaw.window })
+    }
+
+    /// Rule 4 puts two requests a window down to chance, however little a server can do. Turns of a window each, which
+    /// all balancers reckon alike, let one of them send one: two turns meet in any window, whoever else there is.
+    fn turn(&self, now: f64, server: &Server) -> (f64, f64) {
+        let turn = ((now - server.started.get()) / self.thaw.window).floor();
+        (turn, ((rank(0, server.id) + turn * GOLDEN).fract() * self.siblings).floor())
+    }
+
+    pub(crate) fn count_sent(&self, now: f64, server: &Server, load: f64) {
+        if now - server.started.get() < 3.0 * self.thaw.warm_after {
+            // What no budget was left for went by its turn.
+            let left = server.budget.get() - (load / self.mean_load()).max(1.0);
+            server.budget.set(left + f64::from(u8::from(server.budget.get() < 1.0)));
+            server.turn.set(self.turn(now, server).0);
+        }
+        server.tried_at.set(now);
+    }
+}
+
+/// A figure from 0 to 1 that is any balancer's for this group and server.
+pub(crate) fn rank(group: u64, server: u64) -> f64 {
+    Rand64::new(u128::from(group) << 32 ^ u128::from(server)).rand_float()
+}
