--- a/crates/dewhead/tests/fleet/mod.rs
+++ b/crates/dewhead/tests/fleet/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
-/// Mean connections that fill a server of weight 1 when warm.
+/// Mean connections that fill a server of weight 1 when warm, where a day does not say otherwise.
 const BEARS: f64 = 16.0;
 /// What a group costs a server that holds any of it, in mean connections.
 const GROUP: f64 = 3.0;
@@ -41,6 +41,8 @@
     /// How many the settings say there are.
     pub siblings: usize,
     pub servers: usize,
+    /// Mean connections that fill a server of weight 1 when warm.
+    pub bears: f64,
     /// What stands at the start, as a part of what the servers bear.
     pub load: f64,
     /// What the shops have agreed on, as a part of what the servers bear; none where nothing was.
@@ -65,6 +67,7 @@
             balancers,
             siblings: balancers,
             servers: 40,
+            bears: BEARS,
             load: 0.35,
             agreed: None,
             groups: 0,
@@ -145,7 +148,7 @@
 
 impl Fleet {
     fn balancer(&self, at: usize) -> Rc<Balancer> {
-        let bears = BEARS * self.day.servers as f64 * 2.0;
+        let bears = self.day.bears * self.day.servers as f64 * 2.0;
         let shops = match self.day.agreed {
             Some(part) => vec![Shop { share: 1.0, standing: part * bears }],
             None => Vec::new(),
@@ -194,7 +197,7 @@
             fleet.add(listed);
         }
         fleet.balancers = (0..day.balancers).map(|at| fleet.balancer(at)).collect();
-        let clients = (day.load * BEARS * 2.0 * day.servers as f64) as usize;
+        let clients = (day.load * day.bears * 2.0 * day.servers as f64) as usize;
         for _ in 0..clients {
             // The first group is as large as the second and third, and so on.
             let sizes = (1..=day.groups).map(|g| 1.0 / g as f64).sum::<f64>();
@@ -310,7 +313,7 @@
             let node = &self.nodes[&id];
             let started = node.listed.started.unwrap_or(f64::NEG_INFINITY);
             let present = (SHARE + (1.0 - SHARE) * (now - started) / WARM).min(1.0);
-            let bears = BEARS * node.listed.weight * present;
+            let bears = self.day.bears * node.listed.weight * present;
             if node.listed.state == State::Draining {
                 let left = ((node.ends_at - now) / STEP).max(1.0);
                 let goes = (node.holds.len() as f64 / left).ceil() as usize;
@@ -382,7 +385,7 @@
                 let sent = node.sent[first..].iter().take_while(|at| **at <= from + WINDOW).count();
                 // What it can do in the window, in the mean.
                 let present = SHARE + (1.0 - SHARE) * ((age + WINDOW / 2.0) / WARM).min(1.0);
-                let allowed = MULTIPLE * WINDOW * BEARS * node.listed.weight * present / WARM;
+                let allowed = MULTIPLE * WINDOW * self.day.bears * node.listed.weight * present / WARM;
                 let part = sent as f64 / (allowed + 2.0 * allowed.sqrt() + 2.0);
                 if age < WARM && part > outcome.highest {
                     (outcome.highest, outcome.at) = (part, (age, sent, allowed));
--- a/crates/dewhead/tests/release.rs
+++ b/crates/dewhead/tests/release.rs
@@ -59,6 +59,20 @@
     assert!(highest <= 1.05, "300 balancers sent {highest:.2} of the limit");
 }
 
+/// Servers so large that the settings allow dozens of calls a window: the part left to chance is small there, and budgets of
+/// twice what is agreed on are more than it.
+#[test]
+fn large_cold_servers_are_kept_to_their_limit_too() {
+    for balancers in [2, 30] {
+        for agreed in [None, Some(0.8)] {
+            let day = Day { bears: 200.0, servers: 20, agreed, ..Day::of(balancers, 1) };
+            let outcome = Fleet::play(day);
+            println!("{balancers} balancers, agreed {agreed:?}: {outcome:?}");
+            assert!(outcome.highest <= 1.0, "{balancers} balancers sent {:.2} of the limit", outcome.highest);
+        }
+    }
+}
+
 /// Settings that say half as many balancers as there are, shops sold more than servers bear, or servers so full that
 /// twice what they hold is more than they bear: past the limit, and by how much.
 #[test]
