--- a/crates/dewhead-proxy/tests/common/loopback.rs
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -77,7 +77,7 @@
             let config =
                 std::env::temp_dir().join(format!("dewhead-ends-{}-{made}.json", std::process::id()));
             let told = json!({"name": "p", "listen": at.to_string(), "discovery": discovery.to_string(),
-                              "seed": "7", "known": list(1, true, known.clone()), "settings": settings,
+                              "control": config.with_extension("control"), "seed": "7", "known": list(1, true, known.clone()), "settings": settings,
                               "limits": {"sockets": 256}});
             std::fs::write(&config, told.to_string()).unwrap();
             let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
@@ -118,6 +118,14 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// What `dewhead ctl` prints for this action; none where it fails.
+    pub fn ctl(&self, action: &str) -> Option<String> {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
+        command.args(["ctl", action, "--socket"]).arg(self.config.with_extension("control"));
+        let output = command.stderr(Stdio::null()).output().unwrap();
+        output.status.success().then(|| String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
     /// Its configuration as it is now, and another in its place.
     pub fn configuration(&self) -> String {
         std::fs::read_to_string(&self.config).unwrap()
@@ -164,6 +172,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("control"));
     }
 }
 
--- a/crates/dewhead-proxy/tests/system_calls.rs
+++ b/crates/dewhead-proxy/tests/system_calls.rs
@@ -90,3 +90,16 @@
     }
     drop(standing);
 }
+
+/// Visitors of the control socket come in though accepting fails; a successor that was not let in gave the hand-over up.
+#[test]
+fn the_control_socket_answers_though_accepting_fails() {
+    let plan = Plan { seed: 3, accept: 0.7, ..Plan::default() };
+    let (server, discovery) = (Place::new(), Place::new());
+    let known = vec![entry("s-1", server.at, "ready")];
+    let proxy = Proxy::start_with(&settings(), discovery.at, known, &faults(&plan));
+    for visit in 1..=6 {
+        let status = proxy.ctl("status").unwrap_or_else(|| panic!("visit {visit} has no answer"));
+        assert!(status.contains("violations"), "{status}");
+    }
+}
