--- a/crates/dewhead-proxy/src/control/desk.rs
+++ b/crates/dewhead-proxy/src/control/desk.rs
@@ -64,9 +64,14 @@
         }
     }
 
-    /// Takes visitors in.
-    pub fn accept(&mut self, registry: &Registry) {
-        while let Ok((mut socket, _)) = self.listener.accept() {
+    /// Takes visitors in; false where accepting failed, and somebody may wait still.
+    pub fn accept(&mut self, registry: &Registry) -> bool {
+        loop {
+            let mut socket = match self.listener.accept() {
+                Ok((socket, _)) => socket,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(_) => return false,
+            };
             // With no place free it is dropped, and so hung up on.
             if let Some(place) = self.visitors.iter().position(Option::is_none) {
                 let token = Token(FIRST - place);
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -77,6 +77,8 @@
     life: Life,
     pub notify: Notify,
     desk: Option<Desk>,
+    /// Somebody may wait at the control socket; from when on that is looked at again.
+    let_in_from: Option<f64>,
     /// Starts a process to take this one's place; the one that was started, until it is known what became of it; and
     /// the visitor that has been given the listening socket.
     pub successor: Option<Starts>,
@@ -146,6 +148,7 @@
             life: Life::default(),
             notify: Notify::silent(),
             desk: None,
+            let_in_from: None,
             successor: None,
             child: None,
             heir: None,
@@ -175,7 +178,7 @@
             self.notify.turn(self.clock.now());
             let accept = self.accept_from.filter(|_| self.accepting);
             let reread = self.reread.map(|again| again.at);
-            let others = [accept, self.notify.due(), reread];
+            let others = [accept, self.notify.due(), reread, self.let_in_from];
             let due =
                 self.reducer.next_due().into_iter().chain(others.into_iter().flatten()).reduce(f64::min);
             let wait = match due {
@@ -233,6 +236,9 @@
                 self.tell(now, Event::Tick, &[]);
             }
             self.reread(now);
+            if self.let_in_from.is_some_and(|at| at <= now) {
+                self.let_in(now);
+            }
             if self.accepting && self.accept_from.is_some_and(|at| at <= now) {
                 self.accept(now);
             }
--- a/crates/dewhead-proxy/src/turn/accept.rs
+++ b/crates/dewhead-proxy/src/turn/accept.rs
@@ -9,7 +9,7 @@
 /// So many clients are accepted before those who are in have their turn.
 const ACCEPTS: usize = 32;
 /// Where accepting fails, it is tried again after this, in seconds.
-const ACCEPT_PAUSE: f64 = 0.05;
+pub(super) const ACCEPT_PAUSE: f64 = 0.05;
 /// At the end accepting is tried so often, after this pause, while it fails: the process is killed 0.1 s later.
 const LAST_ACCEPTS: u32 = 10;
 const LAST_PAUSE: Duration = Duration::from_millis(5);
--- a/crates/dewhead-proxy/src/turn/control.rs
+++ b/crates/dewhead-proxy/src/turn/control.rs
@@ -1,5 +1,6 @@
 //! The control socket's part of the loop: what operators and a successor ask for.
 
+use super::accept::ACCEPT_PAUSE;
 use super::Turn;
 use crate::control::desk::Desk;
 use crate::control::words::{self, Request};
@@ -16,10 +17,17 @@
         Ok(())
     }
 
+    /// Takes in who waits at the control socket; looks again a little later where that fails.
+    pub(super) fn let_in(&mut self, now: f64) {
+        let Some(desk) = &mut self.desk else { return };
+        let all_in = desk.accept(self.poll.registry());
+        self.let_in_from = (!all_in).then_some(now + ACCEPT_PAUSE);
+    }
+
     /// Somebody is at the control socket.
     pub(super) fn visited(&mut self, now: f64, whose: Option<usize>) {
         let Some(desk) = &mut self.desk else { return };
-        let Some(place) = whose else { return desk.accept(self.poll.registry()) };
+        let Some(place) = whose else { return self.let_in(now) };
         desk.flush(place);
         for line in desk.read(place) {
             let outcome = match words::request(&line) {
--- a/crates/dewhead-world/src/discovery.rs
+++ b/crates/dewhead-world/src/discovery.rs
@@ -30,12 +30,18 @@
     started: f64,
 }
 
+/// An open watch, and the version written on it last.
+#[derive(Clone, Copy)]
+struct Watch {
+    link: LinkKey,
+    written: u64,
+}
+
 pub(crate) struct Agent {
     version: u64,
     entries: Vec<Entry>,
-    /// The watch that is open, and the version written on it last.
-    pub watch: Option<LinkKey>,
-    written: u64,
+    /// The watches that are open: two while one process takes another's place.
+    watches: Vec<Watch>,
     line: Bytes,
     /// The so-many-th of its addresses is the one that answers.
     pub address: usize,
@@ -88,8 +94,7 @@
                 .map(|_| Agent {
                     version: 1,
                     entries: vec![entry.clone(); nodes.len()],
-                    watch: None,
-                    written: 0,
+                    watches: Vec::new(),
                     line: Bytes::new(),
                     address: 0,
                     silent: false,
@@ -188,13 +193,18 @@
 
     /// Writes what the watch has not had yet.
     pub(crate) fn write_watch(&mut self, now: f64, n: usize) {
-        let agent = &self.discovery.agents[n];
-        let Some(link) = agent.watch.filter(|_| !agent.silent && agent.written < agent.version) else {
+        let version = self.discovery.agents[n].version;
+        if self.discovery.agents[n].silent {
             return;
-        };
-        let list = self.discovery.listing(n, false, agent.written);
-        self.discovery.agents[n].written = self.discovery.agents[n].version;
-        self.chunk(now, link, &format!("{list}\n"));
+        }
+        for at in 0..self.discovery.agents[n].watches.len() {
+            let Watch { link, written } = self.discovery.agents[n].watches[at];
+            if written < version {
+                let list = self.discovery.listing(n, false, written);
+                self.discovery.agents[n].watches[at].written = version;
+                self.chunk(now, link, &format!("{list}\n"));
+            }
+        }
     }
 
     fn chunk(&mut self, now: f64, link: LinkKey, text: &str) {
@@ -202,7 +212,7 @@
     }
 
     pub(crate) fn beat(&mut self, now: f64, n: usize, link: LinkKey) {
-        if self.discovery.agents[n].watch != Some(link) {
+        if !self.discovery.agents[n].watches.iter().any(|watch| watch.link == link) {
             return;
         }
         if !self.discovery.agents[n].silent {
@@ -241,7 +251,7 @@
                 let whole = since == 0 || since > told;
                 let list = self.discovery.listing(n, whole, since + self.discovery.agents[n].offset);
                 let agent = &mut self.discovery.agents[n];
-                (agent.watch, agent.written) = (Some(key), agent.version);
+                agent.watches.push(Watch { link: key, written: agent.version });
                 self.say(now, key, b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
                 self.chunk(now, key, &format!("{list}\n"));
                 self.queue.put(now + BEAT, Due::Beat(n, key));
@@ -255,9 +265,7 @@
 
     pub(crate) fn agent_closes(&mut self, now: f64, n: usize, key: LinkKey) {
         let agent = &mut self.discovery.agents[n];
-        if agent.watch == Some(key) {
-            agent.watch = None;
-        }
+        agent.watches.retain(|watch| watch.link != key);
         self.leave(now, key, How::Closed);
     }
 
@@ -267,8 +275,8 @@
         for n in 0..self.discovery.agents.len() {
             let agent = &mut self.discovery.agents[n];
             agent.offset = agent.version - 1;
-            if let Some(link) = agent.watch.take() {
-                self.leave(now, link, How::Closed);
+            for watch in std::mem::take(&mut agent.watches) {
+                self.leave(now, watch.link, How::Closed);
             }
         }
     }
@@ -278,8 +286,8 @@
         let agent = &mut self.discovery.agents[proxy];
         agent.address += 1;
         let address = agent.address;
-        if let Some(link) = agent.watch {
-            self.queue.put(now + 1.5, Due::AgentCloses(proxy, link));
+        for watch in &agent.watches {
+            self.queue.put(now + 1.5, Due::AgentCloses(proxy, watch.link));
         }
         self.service.mark(now, format!("proxy {proxy} is configured anew"));
         if self.proxies[proxy].up {
