The control socket and the successor have the names of the field

Renames alone: Desk to ControlSocket, heir to the place that was taken, the starter of a successor by what it does. The tests of the control socket and of handovers pass unchanged.

--- a/crates/dewhead-proxy/src/control/mod.rs
+++ b/crates/dewhead-proxy/src/control/mod.rs
@@ -1,6 +1,6 @@
-//! The control socket: one request a line, one answer a line, both JSON. `words` knows them, `desk` has the sockets,
+//! The control socket: one request a line, one answer a line, both JSON. `words` knows them, `socket` has the connections,
 //! `ask` is the other side, for the command line.
 
 pub mod ask;
-pub mod desk;
+pub mod socket;
 pub mod words;
--- a/crates/dewhead-proxy/src/control/desk.rs
+++ b/crates/dewhead-proxy/src/control/socket.rs
@@ -12,7 +12,7 @@
 const VISITORS: usize = 4;
 const LONGEST_LINE: usize = 4096;
 /// Tokens are taken from the top, where no end's slot reaches.
-const DOOR: Token = Token(usize::MAX - 1);
+const LISTENER: Token = Token(usize::MAX - 1);
 const FIRST: usize = usize::MAX - 2;
 
 struct Visitor {
@@ -23,7 +23,7 @@
     leaving: bool,
 }
 
-pub struct Desk {
+pub struct ControlSocket {
     listener: UnixListener,
     /// The socket's file, while it is this process's.
     path: Option<PathBuf>,
@@ -31,10 +31,10 @@
     visitors: [Option<Visitor>; VISITORS],
 }
 
-impl Desk {
+impl ControlSocket {
     /// Opens the socket, readable and writable by its owner alone. One that a dead process has left is taken over; one
     /// that is answered is another process's, and an error.
-    pub fn open(path: &Path, registry: &Registry) -> io::Result<Desk> {
+    pub fn open(path: &Path, registry: &Registry) -> io::Result<ControlSocket> {
         let bind = || {
             let before = rustix::process::umask(rustix::fs::Mode::from_bits_truncate(0o177));
             let bound = UnixListener::bind(path);
@@ -51,14 +51,14 @@
             }
             other => other?,
         };
-        registry.register(&mut listener, DOOR, Interest::READABLE)?;
-        Ok(Desk { listener, path: Some(path.to_owned()), visitors: [None, None, None, None] })
+        registry.register(&mut listener, LISTENER, Interest::READABLE)?;
+        Ok(ControlSocket { listener, path: Some(path.to_owned()), visitors: [None, None, None, None] })
     }
 
-    /// Which visitor a token is; the door is none of them.
+    /// Which visitor a token is; the listener is none of them.
     pub fn whose(token: Token) -> Option<Option<usize>> {
         match token {
-            DOOR => Some(None),
+            LISTENER => Some(None),
             Token(at) if at <= FIRST && at > FIRST - VISITORS => Some(Some(FIRST - at)),
             _ => None,
         }
@@ -141,8 +141,8 @@
     }
 
     /// Takes in nobody new, and leaves the socket's file to who comes after.
-    pub fn close_door(&mut self, registry: &Registry) {
-        // One that can't be taken out of the poll is dropped with the desk.
+    pub fn close_listener(&mut self, registry: &Registry) {
+        // One that can't be taken out of the poll is dropped with the rest.
         let _ = registry.deregister(&mut self.listener);
         if let Some(path) = self.path.take() {
             // Taken away already, it needs no taking away.
@@ -173,7 +173,7 @@
     }
 }
 
-impl Drop for Desk {
+impl Drop for ControlSocket {
     /// The socket's file goes with its process.
     fn drop(&mut self) {
         if let Some(path) = &self.path {
--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -101,12 +101,12 @@
         turn.notify.tell(notify::Word::Process);
     }
     if let Some(control) = control {
-        match turn.open_desk(&control) {
+        match turn.open_control_socket(&control) {
             // The place is taken by now: better to serve without it than not to serve.
             Err(e) if take_over.is_some() => error!("control: {}: {e}", control.display()),
             other => other.map_err(|e| format!("control: {}: {e}", control.display()))?,
         }
-        turn.successor = Some(Box::new(move |program| successor(program, again.as_deref(), &control)));
+        turn.start_successor = Some(Box::new(move |program| successor(program, again.as_deref(), &control)));
     }
     info!("{name} serves on {listen}, with {descriptors} descriptors at most");
     turn.run().map_err(|e| format!("the loop: {e}"))
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -5,7 +5,7 @@
 mod control;
 
 use crate::clock::Clock;
-use crate::control::desk::Desk;
+use crate::control::socket::ControlSocket;
 use crate::lifecycle::notify::{Notify, Word};
 use crate::lifecycle::stages::{Act, Life, Told};
 use crate::memory::links::Link;
@@ -76,14 +76,14 @@
     /// The stage that the process is in, who is told of it, and where operators ask.
     life: Life,
     pub notify: Notify,
-    desk: Option<Desk>,
+    control_socket: Option<ControlSocket>,
     /// Somebody may wait at the control socket; from when on that is looked at again.
     let_in_from: Option<f64>,
     /// Starts a process to take this one's place; the one that was started, until it is known what became of it; and
     /// the visitor that has been given the listening socket.
-    pub successor: Option<Starts>,
+    pub start_successor: Option<Starts>,
     child: Option<std::process::Child>,
-    heir: Option<usize>,
+    taken_by: Option<usize>,
     watch: Option<Link>,
     /// Sockets by slot; one leaves with `Effect::Close`.
     clients: Vec<Option<Link>>,
@@ -147,11 +147,11 @@
             reread: None,
             life: Life::default(),
             notify: Notify::silent(),
-            desk: None,
+            control_socket: None,
             let_in_from: None,
-            successor: None,
+            start_successor: None,
             child: None,
-            heir: None,
+            taken_by: None,
             watch: None,
             clients: Vec::new(),
             servers: Vec::new(),
@@ -215,7 +215,7 @@
                     }
                     WATCH => {}
                     other => {
-                        if let Some(whose) = Desk::whose(other) {
+                        if let Some(whose) = ControlSocket::whose(other) {
                             self.visited(now, whose);
                         } else if let Some(end) = end_of(other) {
                             self.ready(
--- a/crates/dewhead-proxy/src/turn/control.rs
+++ b/crates/dewhead-proxy/src/turn/control.rs
@@ -2,7 +2,7 @@
 
 use super::accept::ACCEPT_PAUSE;
 use super::Turn;
-use crate::control::desk::Desk;
+use crate::control::socket::ControlSocket;
 use crate::control::words::{self, Request};
 use crate::lifecycle::stages::{Stage, Told};
 use crate::reducer::Event;
@@ -12,24 +12,24 @@
 
 impl Turn {
     /// Opens the control socket.
-    pub fn open_desk(&mut self, path: &std::path::Path) -> io::Result<()> {
-        self.desk = Some(Desk::open(path, self.poll.registry())?);
+    pub fn open_control_socket(&mut self, path: &std::path::Path) -> io::Result<()> {
+        self.control_socket = Some(ControlSocket::open(path, self.poll.registry())?);
         Ok(())
     }
 
     /// Takes in who waits at the control socket; looks again a little later where that fails.
     pub(super) fn let_in(&mut self, now: f64) {
-        let Some(desk) = &mut self.desk else { return };
-        let all_in = desk.accept(self.poll.registry());
+        let Some(socket) = &mut self.control_socket else { return };
+        let all_in = socket.accept(self.poll.registry());
         self.let_in_from = (!all_in).then_some(now + ACCEPT_PAUSE);
     }
 
     /// Somebody is at the control socket.
     pub(super) fn visited(&mut self, now: f64, whose: Option<usize>) {
-        let Some(desk) = &mut self.desk else { return };
+        let Some(socket) = &mut self.control_socket else { return };
         let Some(place) = whose else { return self.let_in(now) };
-        desk.flush(place);
-        for line in desk.read(place) {
+        socket.flush(place);
+        for line in socket.read(place) {
             let outcome = match words::request(&line) {
                 Ok(Request::Succeed) => match self.hand_on(now, place) {
                     Ok(()) => continue,
@@ -39,13 +39,15 @@
                 Ok(request) => self.asked(now, request),
                 Err(fault) => Err(fault),
             };
-            if let Some(desk) = &mut self.desk {
-                desk.answer(place, &words::answer(outcome));
+            if let Some(socket) = &mut self.control_socket {
+                socket.answer(place, &words::answer(outcome));
             }
         }
-        if self.heir == Some(place) && !self.desk.as_ref().is_some_and(|d| d.holds(place)) {
+        if self.taken_by == Some(place)
+            && !self.control_socket.as_ref().is_some_and(|socket| socket.holds(place))
+        {
             // It died, or could not start: nothing has changed here.
-            self.heir = None;
+            self.taken_by = None;
             warn!("the process that was to take this one's place has gone; serving on");
         }
         self.reap();
@@ -67,33 +69,34 @@
         if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
             return Err(format!("not while the process is {}", stage.name()));
         }
-        if self.heir.is_some() {
+        if self.taken_by.is_some() {
             return Err("another process is about to take this one's place".to_owned());
         }
-        let (Some(listener), Some(desk)) = (&self.listener, &mut self.desk) else {
+        let (Some(listener), Some(socket)) = (&self.listener, &mut self.control_socket) else {
             return Err("there is no listening socket to hand on".to_owned());
         };
         let answer = words::answer(Ok(serde_json::json!({"handed": self.reducer.hand_on(now)})));
-        desk.answer_with(place, &answer, listener.as_fd())
+        socket
+            .answer_with(place, &answer, listener.as_fd())
             .map_err(|e| format!("the socket can't be handed on: {e}"))?;
-        desk.flush(place);
-        self.heir = Some(place);
+        socket.flush(place);
+        self.taken_by = Some(place);
         info!("the listening socket is handed on");
         Ok(())
     }
 
     /// The successor serves: this process accepts no more, and its clients leave over so many seconds.
     fn retire(&mut self, now: f64, place: usize, seconds: Option<f64>) -> Result<serde_json::Value, String> {
-        if self.heir != Some(place) {
+        if self.taken_by != Some(place) {
             return Err("only who was given the listening socket can take the place".to_owned());
         }
-        self.heir = None;
+        self.taken_by = None;
         if let Some(mut listener) = self.listener.take() {
             // Dropped in the next moment, whether the poll lets it go or not.
             let _ = self.poll.registry().deregister(&mut listener);
         }
-        if let Some(desk) = &mut self.desk {
-            desk.close_door(self.poll.registry());
+        if let Some(socket) = &mut self.control_socket {
+            socket.close_listener(self.poll.registry());
         }
         self.live(now, Told::Succeeded);
         let spread = seconds.unwrap_or_else(|| self.reducer.usual_spread());
@@ -124,13 +127,13 @@
             Request::Reload => self.live(now, Told::Renew),
             Request::Handover(program) => {
                 self.reap();
-                if self.heir.is_some() || self.child.is_some() {
+                if self.taken_by.is_some() || self.child.is_some() {
                     return Err("another process is about to take this one's place".to_owned());
                 }
                 if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
                     return Err(refused(stage));
                 }
-                let starts = self.successor.as_mut().ok_or("no process can be started here")?;
+                let starts = self.start_successor.as_mut().ok_or("no process can be started here")?;
                 let child = starts(program.as_deref())?;
                 info!(process = child.id(); "a process is started to take this one's place");
                 self.child = Some(child);
@@ -142,7 +145,7 @@
         status["stage"] = self.life.stage().name().into();
         status["build"] = env!("CARGO_PKG_VERSION").into();
         status["process"] = std::process::id().into();
-        status["handing_over"] = (self.heir.is_some() || self.child.is_some()).into();
+        status["handing_over"] = (self.taken_by.is_some() || self.child.is_some()).into();
         Ok(status)
     }
 }
