A stop reaches every process of a handover, and the successor ends last

Ruled out: a connection closed by either process itself (no close but server_ended in the counters, violations 0). Change: the successor keeps the connection on which it took the place, passes a stop on over it, and ends after its predecessor, at the latest when a stop has to be over; Retiring is a stage of its own; succeeded is refused while stopping; the guard counts a process that ends before its predecessor. Why it holds: every process of a chain is told by the next, and none ends before the one that it can tell.

--- a/crates/dewhead-proxy/src/control/mod.rs
+++ b/crates/dewhead-proxy/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control socket: one request a line, one answer a line, both JSON. `words` knows them, `socket` has the connections,
-//! `ask` is the other side, for the command line.
+//! `ask` is the other
+//! side, for the command line, and `predecessor` that of a process that takes another's place.
 
 pub mod ask;
+pub mod predecessor;
 pub mod socket;
 pub mod words;
--- a/crates/dewhead-proxy/src/control/words.rs
+++ b/crates/dewhead-proxy/src/control/words.rs
@@ -19,6 +19,8 @@
     /// many seconds the standing clients leave.
     Succeed,
     Succeeded(Option<f64>),
+    /// From that process, once it has taken the place: a signal has told it to stop, and so both do.
+    Stop,
 }
 
 /// The longest time over which a drain can be spread, in seconds.
@@ -42,6 +44,7 @@
         },
         Some("succeed") => Ok(Request::Succeed),
         Some("succeeded") => Ok(Request::Succeeded(seconds(&value)?)),
+        Some("stop") => Ok(Request::Stop),
         Some("undrain") => Ok(Request::Undrain),
         Some("reload") => Ok(Request::Reload),
         Some(other) => Err(format!("field 'do' names unknown '{other}'")),
--- a/crates/dewhead-proxy/src/guard.rs
+++ b/crates/dewhead-proxy/src/guard.rs
@@ -27,10 +27,12 @@
     CutOff,
     /// A server in slow start was sent more by this proxy than all proxies together may send it.
     SlowStartExceeded,
+    /// A process ended before its predecessor, with which a supervisor may kill clients that were not told to move.
+    PredecessorLeft,
 }
 
 impl Violation {
-    pub const ALL: [Violation; 8] = [
+    pub const ALL: [Violation; 9] = [
         Violation::SentForNobody,
         Violation::SentLate,
         Violation::SentToWithdrawnServer,
@@ -39,6 +41,7 @@
         Violation::ClosedUnanswered,
         Violation::CutOff,
         Violation::SlowStartExceeded,
+        Violation::PredecessorLeft,
     ];
 
     /// The name in logs and counters.
@@ -52,6 +55,7 @@
             Violation::ClosedUnanswered => "closed_unanswered",
             Violation::CutOff => "cut_off",
             Violation::SlowStartExceeded => "slow_start_exceeded",
+            Violation::PredecessorLeft => "predecessor_left",
         }
     }
 }
--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -6,7 +6,7 @@
 pub mod stages;
 
 use crate::clock::Clock;
-use crate::control::ask::Predecessor;
+use crate::control::predecessor::Predecessor;
 use crate::memory::known;
 use crate::reducer::Reducer;
 use crate::transient::persist;
@@ -81,21 +81,25 @@
     if let Some(handed) = &handed {
         reducer.take_up(clock.now(), handed);
     }
-    let listener = match before {
+    let (listener, predecessor) = match before {
         Some(before) => {
             let own = before.listener.local_addr().map_err(|e| format!("{listen}: {e}"))?;
             if own != listen {
                 return Err(format!("the socket taken over is at {own}, and field 'listen' names {listen}"));
             }
             // It does not block: that is shared with the process that opened it.
-            TcpListener::from_std(before.succeeded(leave_in)?)
+            let (listener, predecessor) = before.succeeded(leave_in)?;
+            (TcpListener::from_std(listener), Some(predecessor))
         }
-        None => listener(listen)?,
+        None => (listener(listen)?, None),
     };
     let again = path.clone();
     let renewed = Box::new(move |report| renew(path.as_deref(), &fixed, report));
     let mut turn = Turn::new(clock, reducer, listener, stops, (renewals, renewed))
         .map_err(|e| format!("{listen}: {e}"))?;
+    if let Some(predecessor) = predecessor {
+        turn.follow_predecessor(predecessor);
+    }
     turn.notify = Notify::from_environment();
     if take_over.is_some() {
         turn.notify.tell(notify::Word::Process);
--- a/crates/dewhead-proxy/src/lifecycle/stages.rs
+++ b/crates/dewhead-proxy/src/lifecycle/stages.rs
@@ -15,7 +15,9 @@
     Reloading,
     /// Sends its clients away and takes no new front's; can be taken back.
     Draining,
-    /// The same for good; ends once all are gone, or at its time.
+    /// Another process has taken the place; ends once its own clients are gone, or at the time that was given.
+    Retiring,
+    /// Told to end: once all are gone, or at its time.
     Stopping,
     Stopped,
 }
@@ -28,6 +30,7 @@
             Stage::Ready => "ready",
             Stage::Reloading => "reloading",
             Stage::Draining => "draining",
+            Stage::Retiring => "retiring",
             Stage::Stopping => "stopping",
             Stage::Stopped => "stopped",
         }
@@ -122,7 +125,7 @@
                 self.to(Stage::Reloading, &[Act::TellReloading, Act::ReadAgain])
             }
             // One that sends its clients away still follows discovery where it has moved to.
-            (Stage::Draining | Stage::Stopping, Told::Renew) => vec![Act::ReadAgain],
+            (Stage::Draining | Stage::Retiring | Stage::Stopping, Told::Renew) => vec![Act::ReadAgain],
             (Stage::Reloading, Told::Renewed) => self.serving(),
             (Stage::Waiting | Stage::Ready, Told::Drain) => self.to(Stage::Draining, &[Act::Drain]),
             (Stage::Draining, Told::Undrain) => {
@@ -130,11 +133,15 @@
                 acts.extend(self.serving());
                 acts
             }
-            (Stage::Stopping, Told::Stop | Told::Succeeded) => Vec::new(),
-            // The manager has been told of the other one; this one is no longer its business.
-            (_, Told::Succeeded) => self.to(Stage::Stopping, &[]),
+            (Stage::Stopping, Told::Stop | Told::Succeeded) | (Stage::Retiring, Told::Succeeded) => {
+                Vec::new()
+            }
+            // The manager has been told of the other one; this one is no longer its business. Its signals are: taken for a
+            // second stop, one was passed over, and the clients that were left were cut by SIGKILL.
+            (_, Told::Succeeded) => self.to(Stage::Retiring, &[]),
+            (Stage::Retiring, Told::Stop) => self.to(Stage::Stopping, &[Act::Stop]),
             (_, Told::Stop) => self.to(Stage::Stopping, &[Act::TellStopping, Act::Stop]),
-            (Stage::Stopping, Told::Over) => self.to(Stage::Stopped, &[]),
+            (Stage::Retiring | Stage::Stopping, Told::Over) => self.to(Stage::Stopped, &[]),
             _ => Vec::new(),
         }
     }
--- a/crates/dewhead-proxy/src/reducer/status.rs
+++ b/crates/dewhead-proxy/src/reducer/status.rs
@@ -1,6 +1,7 @@
 //! What operators are told of the state; nothing is changed here.
 
 use super::Reducer;
+use crate::guard::Violation;
 use crate::memory::counters::CloseReason;
 use crate::memory::sessions::Stage;
 use dewhead::terms::State;
@@ -65,6 +66,11 @@
         self.guard.total()
     }
 
+    /// The process ends before the one whose place it took, whose clients may not have been told to move.
+    pub fn leaves_predecessor(&mut self) {
+        self.guard.violated(Violation::PredecessorLeft, &"the process whose place was taken");
+    }
+
     /// The process ends: who is still owed something is counted, and all counts are told in the log.
     pub fn end(&mut self) {
         let keys: Vec<usize> = self.sessions.iter().map(|(key, _)| key).collect();
--- a/crates/dewhead-proxy/src/reducer/stopping.rs
+++ b/crates/dewhead-proxy/src/reducer/stopping.rs
@@ -27,6 +27,11 @@
         self.end_after(now, self.longest_guard.min(WAITED_FOR));
     }
 
+    /// How long a stop that a signal has asked for takes at the most, in seconds.
+    pub fn stop_takes(&self) -> f64 {
+        self.longest_guard.min(WAITED_FOR) + ENDED
+    }
+
     /// All is over after so many seconds. Guard times longer than that, 4.8 s at one site, were waited for, and who
     /// waited, stood or came late was cut off with the process.
     pub(super) fn end_after(&mut self, now: f64, seconds: f64) {
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -3,8 +3,10 @@
 
 mod accept;
 mod control;
+mod predecessor;
 
 use crate::clock::Clock;
+use crate::control::predecessor::RetiringPredecessor;
 use crate::control::socket::ControlSocket;
 use crate::lifecycle::notify::{Notify, Word};
 use crate::lifecycle::stages::{Act, Life, Told};
@@ -24,8 +26,9 @@
 const SIGNALS: Token = Token(1);
 const WATCH: Token = Token(2);
 const RENEWALS: Token = Token(3);
+const PREDECESSOR: Token = Token(4);
 /// Tokens of ends begin here.
-const FIRST: usize = 4;
+const FIRST: usize = 5;
 /// As much is read at a time, and as much may wait for one socket at the most, but for a word of our own.
 const READ: usize = 8192;
 /// One socket is read so often before the others have their turn.
@@ -58,6 +61,16 @@
     until: f64,
 }
 
+/// How far another process has come with taking this one's place, by its place at the control socket.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Succession {
+    None,
+    /// It has been given the listening socket, and gets ready.
+    Offered(usize),
+    /// It serves; this process retires.
+    Taken(usize),
+}
+
 /// Starts a program that takes this process's place, by its path or this one's own.
 pub type Starts = Box<dyn FnMut(Option<&str>) -> Result<std::process::Child, String>>;
 
@@ -80,10 +93,14 @@
     /// Somebody may wait at the control socket; from when on that is looked at again.
     let_in_from: Option<f64>,
     /// Starts a process to take this one's place; the one that was started, until it is known what became of it; and
-    /// the visitor that has been given the listening socket.
+    /// how far a process has come with taking it.
     pub start_successor: Option<Starts>,
     child: Option<std::process::Child>,
-    taken_by: Option<usize>,
+    succession: Succession,
+    /// The process whose place this one has taken, until that has ended.
+    predecessor: Option<RetiringPredecessor>,
+    /// Once this process has been told to stop: until when it waits for that one.
+    predecessor_ends_by: Option<f64>,
     watch: Option<Link>,
     /// Sockets by slot; one leaves with `Effect::Close`.
     clients: Vec<Option<Link>>,
@@ -151,7 +168,9 @@
             let_in_from: None,
             start_successor: None,
             child: None,
-            taken_by: None,
+            succession: Succession::None,
+            predecessor: None,
+            predecessor_ends_by: None,
             watch: None,
             clients: Vec::new(),
             servers: Vec::new(),
@@ -178,7 +197,8 @@
             self.notify.turn(self.clock.now());
             let accept = self.accept_from.filter(|_| self.accepting);
             let reread = self.reread.map(|again| again.at);
-            let others = [accept, self.notify.due(), reread, self.let_in_from];
+            let predecessor = self.predecessor_ends_by.filter(|_| self.predecessor.is_some());
+            let others = [accept, self.notify.due(), reread, self.let_in_from, predecessor];
             let due =
                 self.reducer.next_due().into_iter().chain(others.into_iter().flatten()).reduce(f64::min);
             let wait = match due {
@@ -213,6 +233,7 @@
                         empty(&mut self.renewals);
                         self.live(now, Told::Renew);
                     }
+                    PREDECESSOR => self.hear_predecessor(),
                     WATCH => {}
                     other => {
                         if let Some(whose) = ControlSocket::whose(other) {
@@ -243,11 +264,15 @@
                 self.accept(now);
             }
             self.end_broken(now);
+            if self.exit && self.waits_for_predecessor(now) {
+                self.exit = false;
+            }
             if self.exit {
                 self.empty_queue(now);
                 self.exit = self.reducer.is_over(self.clock.now());
             }
         }
+        self.leave_predecessor();
         self.reducer.end();
         self.live(self.clock.now(), Told::Over);
         info!("stopped");
@@ -286,7 +311,10 @@
                 // How long the drain takes was told with it.
                 Act::Drain => {}
                 Act::Undrain => self.tell(now, Event::Undrain, &[]),
-                Act::Stop => self.tell(now, Event::Stop, &[]),
+                Act::Stop => {
+                    self.stop_predecessor(now);
+                    self.tell(now, Event::Stop, &[]);
+                }
             }
         }
     }
--- a/crates/dewhead-proxy/src/turn/control.rs
+++ b/crates/dewhead-proxy/src/turn/control.rs
@@ -1,7 +1,7 @@
 //! The control socket's part of the loop: what operators and a successor ask for.
 
 use super::accept::ACCEPT_PAUSE;
-use super::Turn;
+use super::{Succession, Turn};
 use crate::control::socket::ControlSocket;
 use crate::control::words::{self, Request};
 use crate::lifecycle::stages::{Stage, Told};
@@ -10,6 +10,10 @@
 use std::io;
 use std::os::fd::AsFd;
 
+fn refused(stage: Stage) -> String {
+    format!("not while the process is {}", stage.name())
+}
+
 impl Turn {
     /// Opens the control socket.
     pub fn open_control_socket(&mut self, path: &std::path::Path) -> io::Result<()> {
@@ -36,6 +40,7 @@
                     Err(fault) => Err(fault),
                 },
                 Ok(Request::Succeeded(seconds)) => self.retire(now, place, seconds),
+                Ok(Request::Stop) => self.stop_with_successor(now, place),
                 Ok(request) => self.asked(now, request),
                 Err(fault) => Err(fault),
             };
@@ -43,16 +48,22 @@
                 socket.answer(place, &words::answer(outcome));
             }
         }
-        if self.taken_by == Some(place)
-            && !self.control_socket.as_ref().is_some_and(|socket| socket.holds(place))
-        {
+        let left = !self.control_socket.as_ref().is_some_and(|socket| socket.holds(place));
+        if left && self.succession == Succession::Offered(place) {
             // It died, or could not start: nothing has changed here.
-            self.taken_by = None;
             warn!("the process that was to take this one's place has gone; serving on");
         }
+        if left && matches!(self.succession, Succession::Offered(at) | Succession::Taken(at) if at == place) {
+            self.succession = Succession::None;
+        }
         self.reap();
     }
 
+    /// Whether another process is about to take this one's place.
+    fn is_handing_over(&self) -> bool {
+        matches!(self.succession, Succession::Offered(_)) || self.child.is_some()
+    }
+
     /// A process that was started here and has ended leaves nothing behind.
     fn reap(&mut self) {
         if let Some(child) = &mut self.child {
@@ -67,9 +78,9 @@
     fn hand_on(&mut self, now: f64, place: usize) -> Result<(), String> {
         let stage = self.life.stage();
         if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
-            return Err(format!("not while the process is {}", stage.name()));
+            return Err(refused(stage));
         }
-        if self.taken_by.is_some() {
+        if self.succession != Succession::None {
             return Err("another process is about to take this one's place".to_owned());
         }
         let (Some(listener), Some(socket)) = (&self.listener, &mut self.control_socket) else {
@@ -80,17 +91,23 @@
             .answer_with(place, &answer, listener.as_fd())
             .map_err(|e| format!("the socket can't be handed on: {e}"))?;
         socket.flush(place);
-        self.taken_by = Some(place);
+        self.succession = Succession::Offered(place);
         info!("the listening socket is handed on");
         Ok(())
     }
 
     /// The successor serves: this process accepts no more, and its clients leave over so many seconds.
     fn retire(&mut self, now: f64, place: usize, seconds: Option<f64>) -> Result<serde_json::Value, String> {
-        if self.taken_by != Some(place) {
+        if self.succession != Succession::Offered(place) {
             return Err("only who was given the listening socket can take the place".to_owned());
         }
-        self.taken_by = None;
+        // A supervisor that stops the service while a successor gets ready has told this process alone: a successor
+        // that served would be left running with nobody to stop it.
+        let stage = self.life.stage();
+        if stage == Stage::Stopping {
+            return Err(refused(stage));
+        }
+        self.succession = Succession::Taken(place);
         if let Some(mut listener) = self.listener.take() {
             // Dropped in the next moment, whether the poll lets it go or not.
             let _ = self.poll.registry().deregister(&mut listener);
@@ -104,8 +121,16 @@
         Ok(serde_json::json!({"stage": self.life.stage().name()}))
     }
 
+    /// The process that has taken the place was told to stop: so is this one, and in the same time.
+    fn stop_with_successor(&mut self, now: f64, place: usize) -> Result<serde_json::Value, String> {
+        if self.succession != Succession::Taken(place) {
+            return Err("only the process that has taken the place can stop this one".to_owned());
+        }
+        self.live(now, Told::Stop);
+        Ok(serde_json::json!({"stage": self.life.stage().name()}))
+    }
+
     fn asked(&mut self, now: f64, request: Request) -> Result<serde_json::Value, String> {
-        let refused = |stage: Stage| format!("not while the process is {}", stage.name());
         let stage = self.life.stage();
         match request {
             Request::Status => {}
@@ -127,7 +152,7 @@
             Request::Reload => self.live(now, Told::Renew),
             Request::Handover(program) => {
                 self.reap();
-                if self.taken_by.is_some() || self.child.is_some() {
+                if self.is_handing_over() {
                     return Err("another process is about to take this one's place".to_owned());
                 }
                 if !matches!(stage, Stage::Ready | Stage::Waiting | Stage::Draining) {
@@ -139,13 +164,13 @@
                 self.child = Some(child);
             }
             // Answered where the visitor is known.
-            Request::Succeed | Request::Succeeded(_) => {}
+            Request::Succeed | Request::Succeeded(_) | Request::Stop => {}
         }
         let mut status = self.reducer.status(now);
         status["stage"] = self.life.stage().name().into();
         status["build"] = env!("CARGO_PKG_VERSION").into();
         status["process"] = std::process::id().into();
-        status["handing_over"] = (self.taken_by.is_some() || self.child.is_some()).into();
+        status["handing_over"] = self.is_handing_over().into();
         Ok(status)
     }
 }
