A signal counts by a flag; the byte that wakes the loop may be lost

Cause: signal-hook's handler writes a byte and passes over the outcome; a send that ends with EINTR, ENOMEM or ENOBUFS loses the signal. Change: the handler sets a flag before it writes; the loop looks at the flags in each turn. Why it holds: setting the flag can't fail, and the signal ends the wait it comes in.

--- a/crates/dewhead-proxy/src/lifecycle/mod.rs
+++ b/crates/dewhead-proxy/src/lifecycle/mod.rs
@@ -3,6 +3,7 @@
 mod command;
 pub mod configuration;
 pub mod notify;
+pub mod signals;
 pub mod stages;
 
 use crate::clock::Clock;
@@ -10,16 +11,15 @@
 use crate::memory::known;
 use crate::reducer::Reducer;
 use crate::transient::persist;
-use crate::turn::{Report, Turn};
+use crate::turn::{Renewed, Report, Turn};
 use crate::wire::listing::listing;
 use configuration::{Configuration, Fixed};
 use log::{error, info, warn};
 use mio::net::TcpListener;
 use notify::Notify;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signals::Signals;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -36,20 +36,9 @@
     }
 }
 
-/// A socket on which a byte comes for each of these signals.
-fn heard(signals: &[i32]) -> Result<UnixStream, String> {
-    let fault = |e| format!("signals: {e}");
-    let (hears, tells) = persist(UnixStream::pair).map_err(fault)?;
-    for signal in signals {
-        let tells = persist(|| tells.try_clone()).map_err(fault)?;
-        signal_hook::low_level::pipe::register(*signal, tells).map_err(fault)?;
-    }
-    Ok(hears)
-}
-
 fn serve(path: Option<PathBuf>, take_over: Option<PathBuf>, leave_in: Option<f64>) -> Result<(), String> {
     // Before anything that takes time: a signal that nobody hears ends the process.
-    let (stops, renewals) = (heard(&[SIGTERM, SIGINT])?, heard(&[SIGHUP])?);
+    let signals = Signals::listen()?;
     let read = Configuration::load_at_start(path.as_deref())?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
@@ -94,9 +83,11 @@
         None => (listener(listen)?, None),
     };
     let again = path.clone();
-    let renewed = Box::new(move |report| renew(path.as_deref(), &fixed, report));
-    let mut turn = Turn::new(clock, reducer, listener, stops, (renewals, renewed))
+    let renewed: Renewed = Box::new(move |report| renew(path.as_deref(), &fixed, report));
+    let reloads = (signals.reload_bytes, renewed);
+    let mut turn = Turn::new(clock, reducer, listener, signals.stop_bytes, reloads)
         .map_err(|e| format!("{listen}: {e}"))?;
+    turn.flags = Some(signals.flags);
     if let Some(predecessor) = predecessor {
         turn.follow_predecessor(predecessor);
     }
--- /dev/null
+++ b/crates/dewhead-proxy/src/lifecycle/signals.rs
@@ -0,0 +1,63 @@
+//! Signals: a flag tells that one has come, and a byte on a socket wakes the loop.
+//!
+//! The byte alone is not enough: the handler's write may fail, for want of memory or as another signal comes, and there is
+//! nobody to try it again. The flag is looked at in each turn, and the signal itself ends the wait that it comes in.
+
+use crate::transient::persist;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// Whether signals of one kind have come since it was last asked.
+#[derive(Clone, Default)]
+pub struct Flag(Arc<AtomicBool>);
+
+impl Flag {
+    /// Signals that came close together are one.
+    pub fn take(&self) -> bool {
+        self.0.swap(false, Ordering::AcqRel)
+    }
+}
+
+/// What signals ask for.
+pub struct Flags {
+    /// To end: SIGTERM and SIGINT.
+    pub stop: Flag,
+    /// To read the configuration again: SIGHUP.
+    pub reload: Flag,
+}
+
+/// The signals that the process is told things by.
+pub struct Signals {
+    pub flags: Flags,
+    /// Where a byte comes for each.
+    pub stop_bytes: UnixStream,
+    pub reload_bytes: UnixStream,
+}
+
+impl Signals {
+    /// Listens for them from now on. Before that one ends the process.
+    ///
+    /// # Errors
+    ///
+    /// No handler or socket is to be had.
+    pub fn listen() -> Result<Signals, String> {
+        let (stop, stop_bytes) = listen_for(&[SIGTERM, SIGINT])?;
+        let (reload, reload_bytes) = listen_for(&[SIGHUP])?;
+        Ok(Signals { flags: Flags { stop, reload }, stop_bytes, reload_bytes })
+    }
+}
+
+fn listen_for(signals: &[i32]) -> Result<(Flag, UnixStream), String> {
+    let fault = |e| format!("signals: {e}");
+    let flag = Flag::default();
+    let (bytes, sender) = persist(UnixStream::pair).map_err(fault)?;
+    for signal in signals {
+        let sender = persist(|| sender.try_clone()).map_err(fault)?;
+        // Handlers run in this order, so that a byte is never there before its flag.
+        signal_hook::flag::register(*signal, flag.0.clone()).map_err(fault)?;
+        signal_hook::low_level::pipe::register(*signal, sender).map_err(fault)?;
+    }
+    Ok((flag, bytes))
+}
--- a/crates/dewhead-proxy/src/turn.rs
+++ b/crates/dewhead-proxy/src/turn.rs
@@ -9,6 +9,7 @@
 use crate::control::predecessor::RetiringPredecessor;
 use crate::control::socket::ControlSocket;
 use crate::lifecycle::notify::{Notify, Word};
+use crate::lifecycle::signals::Flags;
 use crate::lifecycle::stages::{Act, Life, Told};
 use crate::memory::links::Link;
 use crate::reducer::{Effect, End, Event, How, Reducer};
@@ -83,6 +84,8 @@
     /// A byte comes here for each signal to stop, and there for each to read the configuration again.
     signals: UnixStream,
     renewals: UnixStream,
+    /// Whether signals to stop and to read it again have come. Without flags the bytes alone tell.
+    pub flags: Option<Flags>,
     /// Reads it; none if it is faulty and nothing changes.
     renewed: Renewed,
     reread: Option<Reread>,
@@ -160,6 +163,7 @@
             listener: Some(listener),
             signals,
             renewals,
+            flags: None,
             renewed,
             reread: None,
             life: Life::default(),
@@ -221,17 +225,17 @@
             for end in std::mem::take(&mut self.again) {
                 self.read(now, end);
             }
+            let (mut stop, mut reload) = (false, false);
             for event in events.iter() {
                 match event.token() {
                     LISTENER => self.accept_from = Some(now),
                     SIGNALS => {
                         empty(&mut self.signals);
-                        self.live(now, Told::Stop);
+                        stop = true;
                     }
                     RENEWALS => {
-                        // Signals that came close together are one.
                         empty(&mut self.renewals);
-                        self.live(now, Told::Renew);
+                        reload = true;
                     }
                     PREDECESSOR => self.hear_predecessor(),
                     WATCH => {}
@@ -248,6 +252,16 @@
                     }
                 }
             }
+            // A flag that is set may have lost its byte; a byte whose flag was seen before tells nothing new.
+            if let Some(flags) = &self.flags {
+                (stop, reload) = (flags.stop.take(), flags.reload.take());
+            }
+            if stop {
+                self.live(now, Told::Stop);
+            }
+            if reload {
+                self.live(now, Told::Renew);
+            }
             self.end_broken(now);
             // Only once all that came before is read: a process that was held up for a second took what lay in its sockets
             // for silence, and sent away who had been answered. One poll may not bring all of it.
