A successor that stops waits a little longer than its predecessor may take

Where clients stay on their connections after MOVE both processes end when a stop has to be over, the predecessor a millisecond later, as it was told later; a supervisor's SIGKILL then meets it. Change: the successor waits 0.05 s longer, still 0.05 s before the earliest kill.

--- a/crates/dewhead-proxy/src/turn/predecessor.rs
+++ b/crates/dewhead-proxy/src/turn/predecessor.rs
@@ -8,6 +8,10 @@
 use log::{info, warn};
 use std::os::unix::net::UnixStream;
 
+/// It was told to stop a moment after this process and may take as long; this one waits so much longer, in seconds. Where
+/// clients stay to the last, both would else end at the same time, and either one first.
+const LATER: f64 = 0.05;
+
 impl Turn {
     /// Follows the process whose place was taken, on the connection on which it was.
     pub fn follow_predecessor(&mut self, stream: UnixStream) {
@@ -30,7 +34,7 @@
 
     /// This process has been told to stop, and so it is.
     pub(super) fn stop_predecessor(&mut self, now: f64) {
-        self.predecessor_ends_by = Some(now + self.reducer.stop_takes());
+        self.predecessor_ends_by = Some(now + self.reducer.stop_takes() + LATER);
         if let Some(predecessor) = &mut self.predecessor {
             predecessor.stop();
         }
