The soak plays signals in series, stops in handovers, resets, and crowds; kills owe what a stop owes

Change: processes of a proxy are told apart on both hosts; who stands or waits at a kill that comes after a stop's time counts as cut; the kill comes at the longest guard time, 3 s at most, and 0.7 s. Each run has a block of loopback addresses and a folder of its own.

--- a/crates/dewhead-faults-preload/src/hooks.rs
+++ b/crates/dewhead-faults-preload/src/hooks.rs
@@ -29,6 +29,8 @@
 /// Errors of `connect`, of this machine and of the network.
 const CONNECT_ERRORS: &[c_int] =
     &[libc::EINTR, libc::EAGAIN, libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EHOSTUNREACH, libc::ETIMEDOUT];
+/// How a connection may end instead of by a reset: its packets were not answered, or the way there is gone.
+const END_ERRORS: &[c_int] = &[libc::ETIMEDOUT, libc::EHOSTUNREACH];
 const NANOSECONDS: f64 = 1e9;
 
 fn plan() -> &'static Plan {
@@ -64,6 +66,16 @@
     errors[random() as usize % errors.len()]
 }
 
+/// The outcome of a read or write; one on a connection that was reset may tell of another end.
+fn ended_otherwise(outcome: ssize_t) -> ssize_t {
+    // SAFETY: as in `set_error`.
+    let was_reset = outcome < 0 && unsafe { *libc::__errno_location() } == libc::ECONNRESET;
+    if was_reset && happens(plan().unreachable) {
+        set_error(one_of(END_ERRORS));
+    }
+    outcome
+}
+
 /// Some of `length` bytes: one at the least, fewer than all of them.
 fn part_of(length: usize) -> usize {
     1 + random() as usize % (length - 1)
@@ -100,7 +112,7 @@
     }
     let cut = length > 1 && happens(plan().short);
     let length = if cut { part_of(length) } else { length };
-    original!("send", Send)(fd, bytes, length, flags)
+    ended_otherwise(original!("send", Send)(fd, bytes, length, flags))
 }
 
 #[no_mangle]
@@ -113,7 +125,7 @@
     const SHORT_READ: size_t = 16;
     let cut = length > SHORT_READ && happens(plan().short);
     let length = if cut { part_of(SHORT_READ) } else { length };
-    original!("recv", Receive)(fd, bytes, length, flags)
+    ended_otherwise(original!("recv", Receive)(fd, bytes, length, flags))
 }
 
 #[no_mangle]
@@ -123,13 +135,14 @@
         return -1;
     }
     let first = if count > 0 { Some(*parts) } else { None };
-    match first.filter(|part| part.iov_len > 1 && happens(plan().short)) {
+    let outcome = match first.filter(|part| part.iov_len > 1 && happens(plan().short)) {
         Some(part) => {
             let cut = iovec { iov_base: part.iov_base, iov_len: part_of(part.iov_len) };
             original!("writev", WriteVectored)(fd, &cut, 1)
         }
         None => original!("writev", WriteVectored)(fd, parts, count),
-    }
+    };
+    ended_otherwise(outcome)
 }
 
 #[no_mangle]
--- a/crates/dewhead-faults/src/plan.rs
+++ b/crates/dewhead-faults/src/plan.rs
@@ -32,6 +32,8 @@
     pub connect: f64,
     /// Opening a file for reading fails with `EIO`.
     pub open: f64,
+    /// Reads and writes on a connection that was reset end with `ETIMEDOUT` or `EHOSTUNREACH` instead.
+    pub unreachable: f64,
     /// The wall clock's step; none where `by` is 0.
     pub step: ClockStep,
 }
@@ -95,7 +97,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "seed={},short={},interrupt={}", self.seed, self.short, self.interrupt)?;
         write!(f, ",accept={},socket={},connect={}", self.accept, self.socket, self.connect)?;
-        write!(f, ",open={},step_from={},step_by={}", self.open, self.step.from, self.step.by)
+        write!(f, ",open={},unreachable={}", self.open, self.unreachable)?;
+        write!(f, ",step_from={},step_by={}", self.step.from, self.step.by)
     }
 }
 
@@ -108,6 +111,7 @@
             "socket" => Some(&mut self.socket),
             "connect" => Some(&mut self.connect),
             "open" => Some(&mut self.open),
+            "unreachable" => Some(&mut self.unreachable),
             _ => None,
         }
     }
--- a/crates/dewhead-lab/src/simulated.rs
+++ b/crates/dewhead-lab/src/simulated.rs
@@ -218,15 +218,21 @@
         let clock = self.clock();
         match effect {
             world::Effect::Start(p, known) => self.start(p, &known),
-            world::Effect::Signal(p, Signal::Stop) => {
-                if let Some(p) = self.current[p] {
-                    self.tell(p, clock, Event::Stop, &[]);
+            world::Effect::Signal(p, Signal::Stop | Signal::StopGroup) => {
+                // The process that serves passes it on to those that retire.
+                for process in self.processes_of(p) {
+                    self.tell(process, clock, Event::Stop, &[]);
                 }
             }
+            // There is no other configuration to be read.
+            world::Effect::Signal(_, Signal::Reload) => {}
             world::Effect::Signal(p, Signal::Kill) => {
-                if let Some(p) = self.current[p] {
-                    self.end(p);
+                self.current[p] = None;
+                for process in self.processes_of(p) {
+                    self.processes[process] = None;
                 }
+                self.at.retain(|_, (process, _)| self.processes[*process].is_some());
+                self.world.gone(self.now, p);
             }
             world::Effect::Renew(p, address) => {
                 let event = Event::Renewed(agent_address(address), self.world.of.proxy.sockets);
@@ -358,27 +364,33 @@
         self.apply(self.processes.len() - 1, clock, &[]);
     }
 
-    /// A process is gone; with the one that listens goes the proxy, and all that its earlier ones still hold.
+    /// The processes of a proxy, the one that serves and those that retire.
+    fn processes_of(&self, p: usize) -> Vec<usize> {
+        let its = |one: &Option<Process>| one.as_ref().is_some_and(|one| one.of == p);
+        (0..self.processes.len()).filter(|n| its(&self.processes[*n])).collect()
+    }
+
+    /// A process has ended by itself; its proxy is gone with the last.
     fn end(&mut self, p: usize) {
         let Some(process) = self.processes[p].take() else { return };
         let of = process.of;
-        let held: Vec<LinkKey> =
-            process.clients.iter().chain(&process.legs).flatten().chain(&process.watch).copied().collect();
+        let ends = process.clients.iter().chain(&process.legs).flatten().chain(&process.watch);
+        let held: Vec<LinkKey> = ends.chain(&process.waiting).chain(&process.fresh).copied().collect();
         for key in &held {
             self.at.remove(*key);
         }
-        if self.current[of] == Some(p) {
+        let served = self.current[of] == Some(p);
+        if served {
             self.current[of] = None;
-            for earlier in 0..self.processes.len() {
-                if self.processes[earlier].as_ref().is_some_and(|one| one.of == of) {
-                    self.end(earlier);
-                }
-            }
-            self.world.gone(self.now, of);
-        } else {
-            for key in held {
-                self.world.ended(self.now, key, world::How::Broken);
-            }
+        }
+        if self.processes_of(of).is_empty() {
+            return self.world.gone(self.now, of);
+        }
+        if served {
+            self.world.stops_listening(self.now, of);
+        }
+        for key in held {
+            self.world.ended(self.now, key, world::How::Broken);
         }
     }
 
--- a/crates/dewhead-lab/src/soak.rs
+++ b/crates/dewhead-lab/src/soak.rs
@@ -26,6 +26,15 @@
     "slow-network",
     "handover",
 ];
+/// What a day has one of besides, drawn apart from the others: signals in series, a stop that meets a handover, resets.
+const SIGNALS_AND_RESETS: &[&str] = &["signal-series", "handover-stop", "resets"];
+/// The part of the days that have an idle crowd; how many come to a proxy; and the descriptors that it has then.
+const CROWDED_DAYS: f64 = 1.0 / 3.0;
+const CROWD: [f64; 2] = [300.0, 1200.0];
+const CROWDED_DESCRIPTORS: usize = 1024;
+/// Seconds between the lines of a client, and the most of them that go on writing after `MOVE`.
+const LINE_EVERY: [f64; 2] = [0.1, 0.5];
+const MOST_LINGERING: f64 = 0.5;
 /// Troubles of a day, at the least and at the most; they begin within `OVERLAP` seconds of each other.
 const FEWEST: usize = 2;
 const MOST: usize = 3;
@@ -66,7 +75,7 @@
     pub completed: u64,
     pub unanswered: u64,
     pub breaches: Vec<Breach>,
-    /// Lines of the proxies' logs that tell of a broken promise or a panic.
+    /// Processes that ended badly, and lines of the proxies' logs that tell of a broken promise or a panic.
     pub faults: Vec<String>,
     /// By how much the lab itself came late at the worst, in seconds.
     pub lateness: f64,
@@ -90,11 +99,14 @@
 fn trouble(chance: &mut Chance, kind: &str, begins: f64, seconds: f64) -> Trouble {
     let size = match kind {
         "bad-clients" => chance.within([10.0, 40.0]),
-        "slow-network" | "discovery-late" => chance.within([2.0, 8.0]),
+        "slow-network" | "discovery-late" | "signal-series" => chance.within([2.0, 8.0]),
+        "idle-crowd" => chance.within(CROWD),
         _ => chance.within([1.0, 4.0]),
     };
     let part = match kind {
-        "restart-stop" | "restart-kill" | "reconfigure" | "handover" => chance.within([0.3, 1.0]),
+        "restart-stop" | "restart-kill" | "reconfigure" | "handover" | "signal-series" | "handover-stop" => {
+            chance.within([0.3, 1.0])
+        }
         _ => chance.within([0.2, 0.5]),
     };
     Trouble {
@@ -109,9 +121,21 @@
     }
 }
 
+/// What is drawn apart, so that the rest of a seed's day stays what it was.
+fn add_signals_and_crowds(chance: &mut Chance, of: &mut Experiment, begins: f64) {
+    of.clients.line_every = hundredths(chance.within(LINE_EVERY));
+    of.clients.lingering = hundredths(chance.within([0.0, MOST_LINGERING]));
+    let kind = SIGNALS_AND_RESETS[chance.place(SIGNALS_AND_RESETS.len())];
+    of.troubles.push(trouble(chance, kind, begins, of.seconds));
+    if chance.within([0.0, 1.0]) < CROWDED_DAYS {
+        of.proxy.sockets = CROWDED_DESCRIPTORS;
+        of.troubles.push(trouble(chance, "idle-crowd", begins, of.seconds));
+    }
+}
+
 /// Each fault is in one day of two, so that days differ in what meets.
 fn plan(chance: &mut Chance, seed: u64, begins: f64) -> Plan {
-    let mut drawn = |most: f64| {
+    let drawn = |chance: &mut Chance, most: f64| {
         let happens = chance.within([0.0, 1.0]) < 0.5;
         if happens {
             hundredths(chance.within([0.01, most]))
@@ -119,11 +143,13 @@
             0.0
         }
     };
-    let (short, interrupt) = (drawn(0.4), drawn(0.2));
-    let (accept, socket, connect, open) = (drawn(0.3), drawn(0.1), drawn(0.1), drawn(0.5));
+    let (short, interrupt) = (drawn(chance, 0.4), drawn(chance, 0.2));
+    let (accept, socket, connect, open) =
+        (drawn(chance, 0.3), drawn(chance, 0.1), drawn(chance, 0.1), drawn(chance, 0.5));
     let by = [0.0, HOUR, -HOUR][chance.place(3)];
     let step = ClockStep { from: begins, by };
-    Plan { seed, short, interrupt, accept, socket, connect, open, step }
+    let unreachable = drawn(chance, 1.0);
+    Plan { seed, short, interrupt, accept, socket, connect, open, unreachable, step }
 }
 
 impl Day {
@@ -141,7 +167,9 @@
             let kind = kinds.remove(chance.place(kinds.len()));
             of.troubles.push(trouble(&mut chance, kind, begins, size.seconds));
         }
-        Day { seed, of, plan: plan(&mut chance, seed, begins) }
+        let plan = plan(&mut chance, seed, begins);
+        add_signals_and_crowds(&mut Chance::of(seed, Of::Search, 1), &mut of, begins);
+        Day { seed, of, plan }
     }
 
     /// Plays it on the proxy's binary; the logs of its processes go to this folder, which is emptied first.
@@ -173,11 +201,12 @@
             completed: outcome.counts.completed,
             unanswered: outcome.counts.unanswered,
             breaches: std::mem::take(&mut host.world.audit.breaches),
-            faults: Vec::new(),
+            faults: std::mem::take(&mut host.crashes),
             lateness: host.lateness,
         };
         drop(host);
-        Ok(Verdict { faults: told_faults(logs)?, ..verdict })
+        let faults = verdict.faults.iter().cloned().chain(told_faults(logs)?).collect();
+        Ok(Verdict { faults, ..verdict })
     }
 }
 
--- a/crates/dewhead-lab/src/sockets.rs
+++ b/crates/dewhead-lab/src/sockets.rs
@@ -2,22 +2,25 @@
 //! other ends of their connections, on one thread with mio. Latency, cuts and silence are the world's, as in simulated
 //! time; what differs is the proxies' side, which is the kernel's and theirs.
 
+mod addresses;
+mod processes;
+
 use crate::runs::Played;
-use dewhead_faults::plan::{self, Plan};
+use addresses::Claim;
+use dewhead_faults::plan::Plan;
 use dewhead_world::experiment::Experiment;
 use dewhead_world::nodes::State;
-use dewhead_world::settings::configuration;
 use dewhead_world::world::{Effect, How, LinkKey, Signal, Target, World};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
+use processes::Process;
 use serde_json::Value;
 use slab::Slab;
 use slotmap::SecondaryMap;
-use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Tokens of listeners are even, of links odd.
@@ -64,12 +67,6 @@
     plugs: Vec<TcpStream>,
 }
 
-struct Process {
-    child: Child,
-    /// Whether the world has been told that it listens.
-    ready: bool,
-}
-
 /// How the processes are started.
 pub struct Programs {
     /// The proxy's binary.
@@ -99,12 +96,16 @@
     /// Which socket a link is on.
     at: SecondaryMap<LinkKey, usize>,
     processes: Vec<Option<Process>>,
-    /// Those whose place was taken; one leaves when it has ended.
-    retired: Vec<Child>,
+    /// Those whose place was taken, with their proxies; one leaves when it has ended.
+    retired: Vec<(usize, Child)>,
+    /// Each proxy's addresses, and the run's claim to them.
+    claim: Claim,
     addresses: Vec<SocketAddr>,
     /// The configurations' folder; it goes with the run.
     folder: PathBuf,
     configured: Vec<Value>,
+    /// Processes that ended by themselves with a fault or a signal.
+    pub crashes: Vec<String>,
     /// By how much the world's events came late: the worst, and since when it is counted.
     pub lateness: f64,
     scratch: Vec<u8>,
@@ -119,10 +120,6 @@
 /// What proxies see a moment later than we do.
 const SLACK: f64 = 0.1;
 
-fn loopback() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 fn told(what: &str, fault: impl std::fmt::Display) -> String {
     format!("{what}: {fault}")
 }
@@ -141,18 +138,11 @@
         let mut world = World::new(of, seed);
         world.audit.slack = SLACK;
         let poll = Poll::new().map_err(|e| told("poll", e))?;
-        let folder = std::env::temp_dir().join(format!("dewhead-lab-{}-{seed}", std::process::id()));
-        std::fs::create_dir_all(&folder).map_err(|e| told(&folder.display().to_string(), e))?;
         let proxies = world.proxies.len();
-        let mut addresses = Vec::new();
-        for p in 0..proxies {
-            // An address of the loopback range that no connection of ours goes out from, so that a proxy that starts
-            // again finds its port free.
-            let ip = [127, 0, 1 + (p / 250) as u8, 1 + (p % 250) as u8];
-            let free =
-                std::net::TcpListener::bind((std::net::Ipv4Addr::from(ip), 0)).and_then(|l| l.local_addr());
-            addresses.push(free.map_err(|e| told("a port for a proxy", e))?);
-        }
+        let claim = Claim::take()?;
+        let folder = std::env::temp_dir().join(format!("dewhead-lab-{}", claim.name()));
+        std::fs::create_dir_all(&folder).map_err(|e| told(&folder.display().to_string(), e))?;
+        let addresses = (0..proxies).map(|p| claim.proxy(p)).collect::<Result<Vec<_>, String>>()?;
         let mut host = Sockets {
             world,
             programs,
@@ -163,14 +153,16 @@
             at: SecondaryMap::new(),
             processes: (0..proxies).map(|_| None).collect(),
             retired: Vec::new(),
+            claim,
             addresses,
             folder,
             configured: vec![Value::Null; proxies],
+            crashes: Vec::new(),
             lateness: 0.0,
             scratch: vec![0; READ],
         };
         let nodes = host.world.nodes.len();
-        let mut places = vec![vec![loopback(); nodes]; proxies];
+        let mut places = vec![vec![host.claim.node(); nodes]; proxies];
         for (p, row) in places.iter_mut().enumerate() {
             for (n, place) in row.iter_mut().enumerate() {
                 *place = host.listen(p, Target::Node(n))?;
@@ -194,7 +186,7 @@
     }
 
     fn listen(&mut self, proxy: usize, target: Target) -> Result<SocketAddr, String> {
-        let mut socket = TcpListener::bind(loopback()).map_err(|e| told("a listener", e))?;
+        let mut socket = TcpListener::bind(self.claim.node()).map_err(|e| told("a listener", e))?;
         let address = socket.local_addr().map_err(|e| told("a listener", e))?;
         let entry = self.listeners.vacant_entry();
         let token = listener_token(entry.key());
@@ -308,24 +300,10 @@
             }
             Effect::Start(p, known) => self.start(p, known)?,
             Effect::Signal(p, Signal::Stop) => self.signal(p, rustix::process::Signal::TERM),
-            Effect::Signal(p, Signal::Kill) => {
-                if let Some(process) = &mut self.processes[p] {
-                    // One that has ended by itself needs no signal.
-                    let _ = process.child.kill();
-                    process.child.wait().map_err(|e| told("a proxy's process", e))?;
-                    self.lose_process(p);
-                }
-            }
-            Effect::Handover(p, leave_in) => {
-                if self.processes[p].as_ref().is_some_and(|one| one.ready) {
-                    let config = self.folder.join(format!("proxy-{p}.json"));
-                    let (control, leave_in) = (self.control(p), leave_in.to_string());
-                    let more = ["--take-over", &control, "--leave-in", &leave_in];
-                    let child = self.spawn(p, &config, &more)?;
-                    let old = self.processes[p].replace(Process { child, ready: true });
-                    self.retired.extend(old.map(|o| o.child));
-                }
-            }
+            Effect::Signal(p, Signal::StopGroup) => self.signal_all(p, rustix::process::Signal::TERM),
+            Effect::Signal(p, Signal::Reload) => self.signal(p, rustix::process::Signal::HUP),
+            Effect::Signal(p, Signal::Kill) => self.kill_all(p)?,
+            Effect::Handover(p, leave_in) => self.hand_over(p, leave_in)?,
             Effect::Renew(p, address) => {
                 self.shut_discovery(p);
                 let to = self.listen(p, Target::Agent(address))?;
@@ -350,109 +328,6 @@
         }
     }
 
-    fn signal(&self, p: usize, signal: rustix::process::Signal) {
-        if let Some(process) = &self.processes[p] {
-            if let Some(pid) = rustix::process::Pid::from_raw(process.child.id() as i32) {
-                // One that has just ended is found by `look_at_processes`.
-                let _ = rustix::process::kill_process(pid, signal);
-            }
-        }
-    }
-
-    fn write_configuration(&self, p: usize) -> Result<PathBuf, String> {
-        let path = self.folder.join(format!("proxy-{p}.json"));
-        let next = self.folder.join(format!("proxy-{p}.next"));
-        let fault = |e| told(&path.display().to_string(), e);
-        std::fs::write(&next, self.configured[p].to_string()).map_err(fault)?;
-        std::fs::rename(&next, &path).map_err(fault)?;
-        Ok(path)
-    }
-
-    fn control(&self, p: usize) -> String {
-        self.folder.join(format!("control-{p}")).display().to_string()
-    }
-
-    fn spawn(&self, p: usize, config: &Path, more: &[&str]) -> Result<Child, String> {
-        let log = match &self.programs.logs {
-            Some(dir) => {
-                let file = File::options().create(true).append(true).open(dir.join(format!("proxy-{p}.log")));
-                Stdio::from(file.map_err(|e| told(&dir.display().to_string(), e))?)
-            }
-            None => Stdio::null(),
-        };
-        let mut command = Command::new(&self.programs.proxy);
-        command.args(["serve", "--config"]).arg(config).args(more);
-        if let Some(faults) = &self.programs.faults {
-            command.env("LD_PRELOAD", &faults.library).env(plan::VARIABLE, faults.plan.to_string());
-        }
-        command
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .map_err(|e| told(&self.programs.proxy.display().to_string(), e))
-    }
-
-    fn start(&mut self, p: usize, known: Value) -> Result<(), String> {
-        if self.processes[p].is_some() {
-            return Ok(());
-        }
-        let mine = |l: &&Listener| l.proxy == p && matches!(l.target, Target::Agent(_));
-        let discovery = self.listeners.iter().map(|(_, l)| l).find(mine).map(|l| l.address.to_string());
-        let (listen, discovery) = (self.addresses[p].to_string(), discovery.unwrap_or_default());
-        let seed = self.world.proxy_seed(p);
-        self.configured[p] = configuration(&self.world.of, p, &listen, &discovery, seed, known);
-        // Earlier builds know no such field, and pass it over.
-        self.configured[p]["control"] = Value::String(self.control(p));
-        let path = self.write_configuration(p)?;
-        let child = self.spawn(p, &path, &[])?;
-        self.processes[p] = Some(Process { child, ready: false });
-        Ok(())
-    }
-
-    fn look_at_processes(&mut self, now: f64) -> Result<(), String> {
-        for p in 0..self.processes.len() {
-            let Some(process) = &mut self.processes[p] else { continue };
-            let ended = process.child.try_wait().map_err(|e| told("a proxy's process", e))?;
-            if let Some(status) = ended {
-                if !process.ready && !status.success() {
-                    return Err(format!(
-                        "proxy {p} ended at its start with {status}; --logs DIR keeps what it says"
-                    ));
-                }
-                self.lose_process(p);
-            } else if !process.ready && std::net::TcpStream::connect(self.addresses[p]).is_ok() {
-                process.ready = true;
-                self.world.ready(now, p);
-            }
-        }
-        // One whose end can't be asked for is kept, and asked again.
-        self.retired.retain_mut(|child| matches!(child.try_wait(), Ok(None) | Err(_)));
-        self.carry_out()
-    }
-
-    /// What the kernel does to its connections, we see on each by itself; the world is told at once.
-    fn lose_process(&mut self, p: usize) {
-        self.processes[p] = None;
-        let now = self.now();
-        // What it said last is still in our sockets.
-        let its: Vec<usize> = self
-            .sockets
-            .iter()
-            .filter(|(_, s)| self.world.proxy_of(s.link) == Some(p))
-            .map(|(slot, _)| slot)
-            .collect();
-        for slot in &its {
-            self.read(*slot);
-        }
-        self.world.gone(now, p);
-        for slot in its {
-            if self.sockets.contains(slot) {
-                self.drop_socket(slot);
-            }
-        }
-    }
-
     /// Listeners follow what has become of nodes and zones.
     fn doors(&mut self) -> Result<(), String> {
         for slot in 0..self.listeners.capacity() {
@@ -638,7 +513,7 @@
             let _ = process.child.kill();
             let _ = process.child.wait();
         }
-        for child in &mut self.retired {
+        for (_, child) in &mut self.retired {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/crates/dewhead-lab/tests/faults.rs
+++ b/crates/dewhead-lab/tests/faults.rs
@@ -59,6 +59,7 @@
         accept: 1.0,
         socket: 0.1,
         connect: 0.2,
+        unreachable: 0.5,
         open: 0.3,
         step,
     };
--- a/crates/dewhead-lab/tests/soak.rs
+++ b/crates/dewhead-lab/tests/soak.rs
@@ -20,7 +20,8 @@
         let read = Experiment::read(&text).unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
         let first = read.troubles.iter().map(|t| t.at).fold(f64::INFINITY, f64::min);
         let last = read.troubles.iter().map(|t| t.at).fold(0.0, f64::max);
-        assert!((2..=3).contains(&read.troubles.len()), "seed {seed}");
+        // Two or three, one with signals or resets, and on some days a crowd.
+        assert!((3..=5).contains(&read.troubles.len()), "seed {seed}");
         assert!(last - first <= 3.0, "seed {seed}: they begin {first} to {last}");
         assert_eq!(Day::drawn(SMALL, seed).plan, day.plan, "a seed draws the same day again");
     }
@@ -38,3 +39,29 @@
     assert!(verdict.completed > 20, "{verdict:?}");
     assert!(verdict.is_sound(), "{verdict:#?}");
 }
+
+/// Stops, handovers, reloads, resets and a crowd meet under failing system calls, several days at a time.
+#[test]
+fn fixed_days_with_signals_in_series_and_crowds_keep_all_promises() {
+    const DAYS: Size = Size { proxies: 4, nodes: 8, seconds: 18.0 };
+    const SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
+    const AT_A_TIME: usize = 3;
+    build(&["-p", "dewhead-proxy", "--bin", "dewhead"]);
+    build(&["-p", "dewhead-faults-preload"]);
+    let proxy = dewhead_lab::sockets::beside().expect("it was built a moment ago");
+    let library = dewhead_lab::sockets::faults_library().expect("it was built a moment ago");
+    let logs = std::env::temp_dir().join(format!("dewhead-soak-days-{}", std::process::id()));
+    for seeds in SEEDS.chunks(AT_A_TIME) {
+        std::thread::scope(|scope| {
+            let play =
+                |seed: u64| Day::drawn(DAYS, seed).play(&proxy, &library, &logs.join(seed.to_string()));
+            let plays: Vec<_> = seeds.iter().map(|seed| scope.spawn(move || play(*seed))).collect();
+            for one in plays {
+                let verdict = one.join().expect("no panic").expect("it plays");
+                assert!(verdict.completed > 20, "{verdict:?}");
+                assert!(verdict.is_sound(), "{verdict:#?}");
+            }
+        });
+    }
+    let _ = std::fs::remove_dir_all(&logs);
+}
--- a/crates/dewhead-world/src/audit.rs
+++ b/crates/dewhead-world/src/audit.rs
@@ -104,6 +104,16 @@
     proxy_ended: Option<f64>,
 }
 
+/// Whether a proxy's processes have been killed, and what is owed then.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Killed {
+    No,
+    /// Outright: what they held is their clients' to repeat.
+    Outright,
+    /// After a signal to stop and the time that it leaves: all should have been answered and sent away.
+    AfterStop,
+}
+
 enum Seen {
     Client(Option<u64>, Bytes),
     Leg(Box<Leg>),
@@ -161,7 +171,7 @@
     told: Vec<Vec<Told>>,
     /// Legs that seemed to overlap: the earlier, and since when.
     overlaps: Vec<(LinkKey, u64, f64)>,
-    killed: Vec<bool>,
+    killed: Vec<Killed>,
     /// How much later than the edge a proxy may see things: 0 in simulated time, a little on sockets.
     pub slack: f64,
     pub seed: u64,
@@ -218,7 +228,7 @@
             past: VecDeque::new(),
             told: (0..of.fleet.proxies).map(|_| (0..nodes.len()).map(|_| told()).collect()).collect(),
             overlaps: Vec::new(),
-            killed: vec![false; of.fleet.proxies],
+            killed: vec![Killed::No; of.fleet.proxies],
             slack: 0.0,
             seed,
             breaches: Vec::new(),
@@ -742,7 +752,7 @@
     fn client_cut(&mut self, now: f64, id: u64) {
         let Some(call) = self.calls.get(&id) else { return };
         let proxy = call.proxy;
-        if self.killed[proxy] {
+        if self.killed[proxy] == Killed::Outright {
             // The kernel ends what a killed process held; that is its client's to repeat.
         } else if !call.answered {
             self.breach(now, Rule::OneAnswer, proxy, Some(id), "its link was ended without an answer".into());
@@ -829,7 +839,7 @@
     }
 
     pub(crate) fn proxy_up(&mut self, now: f64, proxy: usize) {
-        self.killed[proxy] = false;
+        self.killed[proxy] = Killed::No;
         for told in &mut self.told[proxy] {
             // A new process is told anew; what its agent holds counts as told to it a while later.
             if told.away.take().is_some() || told.away_by.is_some() {
@@ -838,19 +848,22 @@
         }
     }
 
-    pub(crate) fn killed(&mut self, proxy: usize) {
-        self.killed[proxy] = true;
+    /// A proxy's processes are killed, after they were told to stop or outright.
+    pub(crate) fn killed(&mut self, proxy: usize, after_stop: bool) {
+        self.killed[proxy] = if after_stop { Killed::AfterStop } else { Killed::Outright };
     }
 
-    /// A process has ended. Killed, it owes nothing; by itself, it must have answered all and sent all away.
+    /// A proxy's processes have ended. Killed outright, they owe nothing; by themselves, or killed after the time that a stop
+    /// leaves, they must have answered all and sent all away.
     pub(crate) fn proxy_down(&mut self, now: f64, proxy: usize) {
         let killed = self.killed[proxy];
+        let word = if killed == Killed::AfterStop { "is killed" } else { "ends" };
         let held: Vec<u64> = self.calls.iter().filter(|(_, c)| c.proxy == proxy).map(|(id, _)| *id).collect();
         for id in held {
-            if killed {
+            if killed == Killed::Outright {
                 self.over(now, id);
             } else {
-                self.trace(now, Some(id), || "the proxy's process ends".into());
+                self.trace(now, Some(id), || format!("the proxy's process {word}"));
                 self.client_cut(now, id);
             }
         }
--- a/crates/dewhead-world/src/clients.rs
+++ b/crates/dewhead-world/src/clients.rs
@@ -299,6 +299,13 @@
 
     /// Leaves its link, whatever stands on it.
     fn hang_up(&mut self, now: f64, key: ClientKey) {
+        if let Some(link) = self.let_go(key) {
+            self.leave(now, link, How::Closed);
+        }
+    }
+
+    /// Has nothing more to do with its link, which is still open.
+    fn let_go(&mut self, key: ClientKey) -> Option<LinkKey> {
         let client = &mut self.clients[key];
         let (link, connection) = (client.link.take(), client.connection.take());
         if let Some(connection) = connection {
@@ -308,7 +315,25 @@
             if let Some(proxy) = self.links.get(link).map(|l| l.proxy) {
                 self.proxies[proxy].connections = self.proxies[proxy].connections.saturating_sub(1);
             }
-            self.leave(now, link, How::Closed);
+        }
+        link
+    }
+
+    /// Goes on writing on the link that it was told to move from, until the proxy's side is closed.
+    fn linger(&mut self, now: f64, key: ClientKey) {
+        if let Some(link) = self.let_go(key) {
+            if let Some(one) = self.links.get_mut(link) {
+                one.far = Far::Lingering;
+                self.queue.put(now + self.of.clients.line_every, Due::Linger(link));
+            }
+        }
+    }
+
+    pub(crate) fn linger_on(&mut self, now: f64, link: LinkKey) {
+        let open = self.links.get(link).is_some_and(|l| l.far == Far::Lingering && !l.is_over());
+        if open {
+            self.say(now, link, b"M 0\r\n");
+            self.queue.put(now + self.of.clients.line_every, Due::Linger(link));
         }
     }
 
@@ -359,9 +384,11 @@
     }
 
     /// A standing client drops its connection, and comes again.
-    pub(crate) fn drop_client(&mut self, now: f64, key: ClientKey) {
+    pub(crate) fn drop_client(&mut self, now: f64, key: ClientKey, how: How) {
         if self.clients[key].stage == Stage::Standing {
-            self.hang_up(now, key);
+            if let Some(link) = self.let_go(key) {
+                self.leave(now, link, how);
+            }
             self.come_again(now, key, false);
         }
     }
@@ -438,7 +465,12 @@
                 self.try_again(now, key, None);
             }
             (Stage::Standing, "MOVE") => {
-                self.hang_up(now, key);
+                let lingers = self.of.clients.lingering;
+                if lingers > 0.0 && self.clients[key].chance.happens(lingers) {
+                    self.linger(now, key);
+                } else {
+                    self.hang_up(now, key);
+                }
                 self.come_again(now, key, true);
             }
             _ => {}
--- a/crates/dewhead-world/src/experiment.rs
+++ b/crates/dewhead-world/src/experiment.rs
@@ -162,6 +162,8 @@
     pub rejoin: Range,
     /// Seconds between a client's lines.
     pub line_every: f64,
+    /// The part of the clients that go on writing on a connection after `MOVE`, until it is closed.
+    pub lingering: f64,
     /// Whether clients tell a guess at their load, and its sigma.
     pub hints: bool,
     pub hint_sigma: f64,
@@ -389,6 +391,7 @@
             honour: 0.85,
             rejoin: [0.15, 1.0],
             line_every: 2.0,
+            lingering: 0.0,
             hints: true,
             hint_sigma: 0.3,
         }
@@ -507,6 +510,7 @@
         must((0.0..=1.0).contains(&self.load.zone_skew), "load.zone_skew", "must be from 0 to 1")?;
         must(self.load.period > 0.0, "load.period", "must be over 0")?;
         must(self.clients.line_every >= 0.1, "clients.line_every", "must be 0.1 at the least")?;
+        must((0.0..=1.0).contains(&self.clients.lingering), "clients.lingering", "must be from 0 to 1")?;
         must(self.rules.most_legs >= 1, "rules.most_legs", "must be 1 at the least")?;
         for (n, one) in self.traffic.iter().enumerate() {
             let key = |name: &str| format!("traffic[{n}].{name}");
--- a/crates/dewhead-world/src/serving.rs
+++ b/crates/dewhead-world/src/serving.rs
@@ -2,9 +2,13 @@
 
 use crate::clients::Stage;
 use crate::nodes::State;
-use crate::world::{Bytes, ClientKey, ConnectionKey, Due, Effect, Far, How, LinkKey, Parcel, World};
+use crate::troubles::killed_after;
+use crate::world::{Bytes, ClientKey, ConnectionKey, Due, Effect, Far, How, LinkKey, Parcel, Signal, World};
 use slotmap::{Key, KeyData};
 
+/// Times that are the same differ by less than this, in seconds.
+const ROUNDING: f64 = 1e-6;
+
 /// A connection as its node has it.
 pub(crate) struct Connection {
     pub link: LinkKey,
@@ -332,18 +336,24 @@
         }
     }
 
-    /// A process gets a signal.
-    pub(crate) fn signal(&mut self, now: f64, proxy: usize, signal: crate::world::Signal) {
-        if self.proxies[proxy].up {
-            if signal == crate::world::Signal::Stop {
-                self.proxies[proxy].stopping = true;
+    /// A proxy's processes get a signal.
+    pub(crate) fn signal(&mut self, now: f64, proxy: usize, signal: Signal) {
+        let one = &mut self.proxies[proxy];
+        match signal {
+            Signal::Stop | Signal::StopGroup if one.up && !one.stopping => {
+                one.stopping = true;
+                one.stopped_at = Some(now);
                 self.front_stops(now, proxy);
             }
-            if signal == crate::world::Signal::Kill {
-                self.audit.killed(proxy);
+            // One that has ended by itself may have left others behind.
+            Signal::Kill => {
+                let had_its_time = one.stopped_at.is_some_and(|at| now - at >= killed_after(self) - ROUNDING);
+                self.audit.killed(proxy, had_its_time);
             }
-            self.service.mark(now, format!("proxy {proxy} gets {signal:?}"));
-            self.ask(Effect::Signal(proxy, signal));
+            _ if !one.up => return,
+            _ => {}
         }
+        self.service.mark(now, format!("proxy {proxy} gets {signal:?}"));
+        self.ask(Effect::Signal(proxy, signal));
     }
 }
--- a/crates/dewhead-world/src/troubles/bad_clients.rs
+++ b/crates/dewhead-world/src/troubles/bad_clients.rs
@@ -59,19 +59,27 @@
             }
             let kind = world.trouble_chance[n].place(8);
             let call = world.calls.keys().next().copied().unwrap_or(1);
-            let link = world.link(proxy, Far::Bad(stage as usize), 5e-4);
-            world.post(now, link, true, Parcel::Open);
-            let text = words(kind, call);
-            for piece in text.chunks(4096) {
-                world.say(now, link, piece);
-            }
-            world.service.counts.bad_clients += 1;
-            world.bad.0.push(Bad { link, since: now });
+            come(world, now, proxy, stage, &words(kind, call));
         }
     }
     (now < ends + OWED + 0.5).then_some(now + EVERY)
 }
 
+/// One that connects and says nothing.
+pub(super) fn silent(world: &mut World, now: f64, proxy: usize) {
+    come(world, now, proxy, 0, &[]);
+}
+
+fn come(world: &mut World, now: f64, proxy: usize, stage: u32, text: &[u8]) {
+    let link = world.link(proxy, Far::Bad(stage as usize), 5e-4);
+    world.post(now, link, true, Parcel::Open);
+    for piece in text.chunks(4096) {
+        world.say(now, link, piece);
+    }
+    world.service.counts.bad_clients += 1;
+    world.bad.0.push(Bad { link, since: now });
+}
+
 /// It has got something: a line or an end, either will do.
 pub(crate) fn gets(world: &mut World, now: f64, _n: usize, key: LinkKey, parcel: Parcel) {
     match parcel {
--- a/crates/dewhead-world/src/troubles/mod.rs
+++ b/crates/dewhead-world/src/troubles/mod.rs
@@ -11,14 +11,18 @@
 mod fast_errors;
 mod flood;
 mod handover;
+mod handover_stop;
 mod heavy_tail;
+mod idle_crowd;
 mod neighbour;
 mod node_restart;
 mod node_silent;
 mod reconfigure;
 mod reconnect;
+mod resets;
 mod restart_kill;
 mod restart_stop;
+mod signal_series;
 mod slow_network;
 mod zone_cut;
 
@@ -44,14 +48,18 @@
     fast_errors::KIND,
     flood::KIND,
     handover::KIND,
+    handover_stop::KIND,
     heavy_tail::KIND,
+    idle_crowd::KIND,
     neighbour::KIND,
     node_restart::KIND,
     node_silent::KIND,
     reconfigure::KIND,
     reconnect::KIND,
+    resets::KIND,
     restart_kill::KIND,
     restart_stop::KIND,
+    signal_series::KIND,
     slow_network::KIND,
     zone_cut::KIND,
 ];
@@ -110,6 +118,17 @@
     all.chunks(trouble.at_a_time).nth(stage as usize).unwrap_or(&[]).to_vec()
 }
 
+/// After SIGTERM a process is killed no sooner than the longest guard time, or the first of these if that is longer, and the
+/// second; in seconds.
+const WAITED_FOR: f64 = 3.0;
+const KILLED_AFTER: f64 = 0.7;
+
+/// How long after SIGTERM the kill comes, in seconds: at the earliest moment that is allowed.
+pub(crate) fn killed_after(world: &World) -> f64 {
+    let guard = world.of.traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
+    guard.min(WAITED_FOR) + KILLED_AFTER
+}
+
 /// When the next turn comes, with all of them within the time that the trouble lasts.
 fn next_turn(world: &World, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
     let turns = world.hit.get(&n).map_or(0, |all| all.len().div_ceil(trouble.at_a_time));
--- a/crates/dewhead-world/src/troubles/reconnect.rs
+++ b/crates/dewhead-world/src/troubles/reconnect.rs
@@ -2,7 +2,7 @@
 
 use super::Kind;
 use crate::experiment::Trouble;
-use crate::world::World;
+use crate::world::{How, World};
 
 pub const KIND: Kind = Kind {
     name: "reconnect",
@@ -16,7 +16,7 @@
 fn act(world: &mut World, now: f64, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
     for client in world.standing_clients() {
         if world.trouble_chance[n].happens(trouble.part / f64::from(WAVES)) {
-            world.drop_client(now, client);
+            world.drop_client(now, client, How::Closed);
         }
     }
     (stage + 1 < WAVES).then(|| now + trouble.lasts / f64::from(WAVES))
--- /dev/null
+++ b/crates/dewhead-world/src/troubles/resets.rs
@@ -0,0 +1,30 @@
+//! Connections are reset here and there, on both sides of the proxies: between proxies and nodes, and by clients.
+
+use super::Kind;
+use crate::experiment::Trouble;
+use crate::world::{ConnectionKey, How, World};
+
+pub const KIND: Kind = Kind {
+    name: "resets",
+    about: "'part' of the connections to nodes, and of the clients', are reset within 'lasts' seconds",
+    act,
+};
+
+/// So many waves make up the time that it lasts.
+const WAVES: u32 = 20;
+
+fn act(world: &mut World, now: f64, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
+    let part = trouble.part / f64::from(WAVES);
+    let connections: Vec<ConnectionKey> = world.connections.keys().collect();
+    for connection in connections {
+        if world.trouble_chance[n].happens(part) {
+            world.drop_connection(now, connection, How::Broken);
+        }
+    }
+    for client in world.standing_clients() {
+        if world.trouble_chance[n].happens(part) {
+            world.drop_client(now, client, How::Broken);
+        }
+    }
+    (stage + 1 < WAVES).then(|| now + trouble.lasts / f64::from(WAVES))
+}
--- a/crates/dewhead-world/src/troubles/restart_stop.rs
+++ b/crates/dewhead-world/src/troubles/restart_stop.rs
@@ -1,6 +1,6 @@
 //! Proxies are restarted in turn with SIGTERM, and killed where they do not end by themselves.
 
-use super::{choose_proxies, next_turn, turn, Kind};
+use super::{choose_proxies, killed_after, next_turn, turn, Kind};
 use crate::experiment::Trouble;
 use crate::world::{Signal, World};
 
@@ -10,9 +10,6 @@
     act,
 };
 
-/// After SIGTERM a process is killed no sooner than the longest guard time and this.
-const KILLED_AFTER: f64 = 0.7;
-
 fn act(world: &mut World, now: f64, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
     if stage == 0 {
         choose_proxies(world, trouble, n);
@@ -23,8 +20,7 @@
         for proxy in hit {
             world.signal(now, proxy, Signal::Stop);
         }
-        let guard = world.of.traffic.iter().map(|t| t.guard_time).fold(0.0, f64::max);
-        return Some(now + guard + KILLED_AFTER);
+        return Some(now + killed_after(world));
     }
     for proxy in hit {
         world.signal(now, proxy, Signal::Kill);
--- /dev/null
+++ b/crates/dewhead-world/src/troubles/signal_series.rs
@@ -0,0 +1,42 @@
+//! Proxies get signals in series: SIGHUP again and again, then SIGTERM, SIGHUP and SIGTERM once more. The kill comes as
+//! early after the first SIGTERM as is allowed.
+
+use super::{choose_proxies, killed_after, next_turn, turn, Kind};
+use crate::experiment::Trouble;
+use crate::world::{Signal, World};
+
+pub const KIND: Kind = Kind {
+    name: "signal-series",
+    about: "'part' of the proxies get 'size' times SIGHUP, then SIGTERM, SIGHUP and SIGTERM, within 'lasts' seconds, 'at_a_time' of them",
+    act,
+};
+
+/// What follows the reloads, and the longest time between two signals, in seconds.
+const ENDING: [Signal; 3] = [Signal::Stop, Signal::Reload, Signal::Stop];
+const LONGEST_GAP: f64 = 0.3;
+
+fn act(world: &mut World, now: f64, trouble: &Trouble, n: usize, stage: u32) -> Option<f64> {
+    if stage == 0 {
+        choose_proxies(world, trouble, n);
+    }
+    let reloads = trouble.size.round().max(1.0) as u32;
+    let signals = reloads + ENDING.len() as u32;
+    let number = stage / (signals + 1);
+    let hit = turn(world, trouble, n, number);
+    let step = stage % (signals + 1);
+    if step == signals {
+        for proxy in hit {
+            world.signal(now, proxy, Signal::Kill);
+            world.start_proxy(now, proxy);
+        }
+        return next_turn(world, trouble, n, number);
+    }
+    let signal = step.checked_sub(reloads).map_or(Signal::Reload, |at| ENDING[at as usize]);
+    hit.iter().for_each(|proxy| world.signal(now, *proxy, signal));
+    if step + 1 < signals {
+        return Some(now + LONGEST_GAP * world.trouble_chance[n].part());
+    }
+    let first =
+        hit.iter().filter_map(|proxy| world.proxies[*proxy].stopped_at).fold(f64::NEG_INFINITY, f64::max);
+    Some(first.max(now - killed_after(world)) + killed_after(world))
+}
--- a/crates/dewhead-world/src/world.rs
+++ b/crates/dewhead-world/src/world.rs
@@ -39,7 +39,13 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Signal {
+    /// SIGTERM to the process that serves, as a supervisor sends it that follows the main process.
     Stop,
+    /// SIGTERM to that process and to all that retire, as one sends it that signals the whole group.
+    StopGroup,
+    /// SIGHUP, with the configuration as it was.
+    Reload,
+    /// SIGKILL to all processes.
     Kill,
 }
 
@@ -76,6 +82,8 @@
     Client(ClientKey),
     /// A client that is none, in `troubles::bad_clients`.
     Bad(usize),
+    /// A client that was told to move, and still writes.
+    Lingering,
     Front,
     Node(usize, Option<ConnectionKey>),
     Agent(usize),
@@ -104,6 +112,13 @@
     shown: bool,
 }
 
+impl Link {
+    /// Whether one side or the other has nothing more to do with it.
+    pub fn is_over(&self) -> bool {
+        self.proxy_gone || self.far_gone
+    }
+}
+
 /// A proxy as the world sees it: a process that runs or not.
 pub struct Proxy {
     pub zone: usize,
@@ -111,12 +126,15 @@
     /// Processes started so far.
     pub starts: u64,
     pub stopping: bool,
+    /// When it was told to stop, while its processes have not started anew.
+    pub stopped_at: Option<f64>,
     pub connections: u32,
 }
 
 pub(crate) enum Due {
     Arrival,
     Client(ClientKey, u32),
+    Linger(LinkKey),
     Toward(LinkKey, Parcel),
     From(LinkKey, Parcel),
     /// A set-up at this node may be done; the number tells a newer guess from an older.
@@ -195,7 +213,14 @@
         let node_names: Vec<String> =
             (0..nodes.len()).map(|_| format!("n-{:08x}", fleet.bits() as u32)).collect();
         let proxies: Vec<Proxy> = (0..of.fleet.proxies)
-            .map(|p| Proxy { zone: p % zones, up: false, starts: 0, stopping: false, connections: 0 })
+            .map(|p| Proxy {
+                zone: p % zones,
+                up: false,
+                starts: 0,
+                stopping: false,
+                stopped_at: None,
+                connections: 0,
+            })
             .collect();
         let service = Service::new(kinds, nodes.len(), proxies.len());
         let audit = Auditor::new(of, seed, &nodes, &node_names);
@@ -267,6 +292,7 @@
         match due {
             Due::Arrival => self.arrival(now),
             Due::Client(key, number) => self.client_due(now, key, number),
+            Due::Linger(link) => self.linger_on(now, link),
             Due::Toward(key, parcel) => self.proxy_arrives(now, key, parcel),
             Due::From(key, parcel) => self.far_arrives(now, key, parcel),
             Due::SetUp(node, guess) => self.set_up_due(now, node, guess),
@@ -476,6 +502,11 @@
         match link.far {
             Far::Client(client) => self.client_gets(now, client, key, parcel),
             Far::Bad(n) => crate::troubles::bad_clients::gets(self, now, n, key, parcel),
+            // It goes once nobody is there to write to.
+            Far::Lingering if matches!(parcel, Parcel::End(How::Closed | How::Broken)) => {
+                self.leave(now, key, How::Closed);
+            }
+            Far::Lingering => {}
             Far::Front => self.front_gets(now, key, parcel),
             Far::Node(node, at) => self.node_gets(now, node, at, key, parcel),
             Far::Agent(agent) => self.agent_gets(now, agent, key, parcel),
@@ -534,15 +565,24 @@
         self.note(now, 8, proxy, &[]);
         self.proxies[proxy].up = true;
         self.proxies[proxy].stopping = false;
+        self.proxies[proxy].stopped_at = None;
         self.audit.proxy_up(now, proxy);
         self.service.mark(now, format!("proxy {proxy} listens"));
         self.front_pings(now, proxy);
     }
 
-    /// A proxy's process is gone, by itself or not; what it held is reset.
+    /// The process that serves is gone; one that retires still holds connections.
+    pub fn stops_listening(&mut self, now: f64, proxy: usize) {
+        self.note(now, 10, proxy, &[]);
+        self.proxies[proxy].up = false;
+        self.service.mark(now, format!("proxy {proxy} listens no more"));
+        self.front_loses(now, proxy);
+    }
+
+    /// All of a proxy's processes are gone, by themselves or not; what they held is reset.
     pub fn gone(&mut self, now: f64, proxy: usize) {
         self.note(now, 9, proxy, &[]);
-        self.proxies[proxy].up = false;
+        let listened = std::mem::replace(&mut self.proxies[proxy].up, false);
         self.audit.proxy_down(now, proxy);
         self.service.mark(now, format!("proxy {proxy} is gone"));
         let lost: Vec<LinkKey> = self
@@ -556,7 +596,9 @@
             self.post(now, key, false, Parcel::End(How::Broken));
             self.tidy(key);
         }
-        self.front_loses(now, proxy);
+        if listened {
+            self.front_loses(now, proxy);
+        }
     }
 
     pub(crate) fn start_proxy(&mut self, now: f64, proxy: usize) {
