The auditor keeps a leg by its key, not by the slot that the next link takes

Cause: what the auditor had seen of a link lay in a map by slots, where a newer link in the same slot replaces the older; the leg of an open call was gone once its link was, while its server's last lines were still on their way through the proxy. Ruled out: bytes of the proxy's own (what was told is the server's MOVE and line); dropping at the leg's end (kept while its call is open). Change: a map by keys.

--- a/crates/dewhead-world/src/audit.rs
+++ b/crates/dewhead-world/src/audit.rs
@@ -7,7 +7,6 @@
 use crate::world::{Bytes, Far, How, LinkKey};
 use serde::Serialize;
 use serde_json::Value;
-use slotmap::SecondaryMap;
 use std::collections::{BTreeMap, VecDeque};
 
 /// The rules, by what breaks them.
@@ -164,7 +163,9 @@
     grace: f64,
     places: Vec<(usize, u64)>,
     names: BTreeMap<String, usize>,
-    seen: SecondaryMap<LinkKey, Seen>,
+    /// By key and not by slot: a leg may be needed after its link has gone, as lines of it are still on their way, and the
+    /// slot is another link's by then.
+    seen: BTreeMap<LinkKey, Seen>,
     calls: BTreeMap<u64, Call>,
     /// Calls that ended a moment ago, for hosts whose proxies learn of it a moment later.
     past: VecDeque<(f64, u64)>,
@@ -223,7 +224,7 @@
             grace: of.rules.drain_grace,
             places: nodes.iter().map(|n| (n.zone, n.cell)).collect(),
             names: names.iter().cloned().enumerate().map(|(n, name)| (name, n)).collect(),
-            seen: SecondaryMap::new(),
+            seen: BTreeMap::new(),
             calls: BTreeMap::new(),
             past: VecDeque::new(),
             told: (0..of.fleet.proxies).map(|_| (0..nodes.len()).map(|_| told()).collect()).collect(),
@@ -290,12 +291,12 @@
     }
 
     pub(crate) fn refused(&mut self, _now: f64, key: LinkKey) {
-        self.seen.remove(key);
+        self.seen.remove(&key);
     }
 
     /// Bytes reach a proxy.
     pub(crate) fn toward(&mut self, now: f64, key: LinkKey, proxy: usize, bytes: &[u8]) {
-        match self.seen.get_mut(key) {
+        match self.seen.get_mut(&key) {
             Some(Seen::Client(None, line)) => {
                 line.extend_from_slice(bytes);
                 if let Some(end) = line.iter().position(|b| *b == b'\n') {
@@ -313,7 +314,7 @@
                 if let Some(one) = self.calls.get_mut(&call) {
                     one.unanswered.get_or_insert(now);
                     if let Some(leg) = one.standing {
-                        if let Some(Seen::Leg(leg)) = self.seen.get_mut(leg) {
+                        if let Some(Seen::Leg(leg)) = self.seen.get_mut(&leg) {
                             leg.up.comes(now, bytes);
                         }
                     }
@@ -361,7 +362,7 @@
 
     /// A node's bytes reach a proxy.
     fn node_said(&mut self, now: f64, key: LinkKey, bytes: &[u8]) {
-        let Some(Seen::Leg(leg)) = self.seen.get_mut(key) else { return };
+        let Some(Seen::Leg(leg)) = self.seen.get_mut(&key) else { return };
         leg.heard = now;
         leg.down.comes(now, bytes);
         // A flow that is bound to no client is not held back.
@@ -403,7 +404,7 @@
 
     /// A proxy's bytes leave it.
     pub(crate) fn said(&mut self, now: f64, key: LinkKey, proxy: usize, bytes: &[u8]) {
-        match self.seen.get(key) {
+        match self.seen.get(&key) {
             Some(Seen::Client(Some(call), _)) => {
                 let call = *call;
                 self.client_told(now, call, proxy, bytes);
@@ -448,7 +449,7 @@
                 self.answers[0] += 1;
                 let receipt = line.strip_prefix("UP ").unwrap_or("").as_bytes();
                 let bound = legs.iter().copied().find(|l| {
-                    matches!(self.seen.get(*l), Some(Seen::Leg(leg)) if leg.receipt.as_deref() == Some(receipt))
+                    matches!(self.seen.get(l), Some(Seen::Leg(leg)) if leg.receipt.as_deref() == Some(receipt))
                 });
                 match bound {
                     Some(leg) => {
@@ -485,7 +486,7 @@
 
     /// What becomes of a leg, as far as the proxy can know; one whose first line was not whole never ran.
     fn outcome(&self, key: LinkKey) -> Outcome {
-        match self.seen.get(key) {
+        match self.seen.get(&key) {
             Some(Seen::Leg(leg)) if leg.sent.is_none() => Outcome::Never,
             Some(Seen::Leg(leg))
                 if leg.outcome == Outcome::Out && leg.far_ended.or(leg.proxy_ended).is_some() =>
@@ -499,7 +500,7 @@
 
     /// Bytes to a standing client: what its node said, and at the end perhaps the proxy's `MOVE`.
     fn passed(&mut self, now: f64, id: u64, leg: LinkKey, proxy: usize, bytes: &[u8]) {
-        let Some(Seen::Leg(bound)) = self.seen.get_mut(leg) else {
+        let Some(Seen::Leg(bound)) = self.seen.get_mut(&leg) else {
             return self.own_word(now, id, proxy, bytes);
         };
         let mut passed = if call_is_told(&self.calls, id) { 0 } else { bound.down.alike(bytes) };
@@ -527,7 +528,7 @@
     }
 
     fn leg_told(&mut self, now: f64, key: LinkKey, bytes: &[u8]) {
-        let Some(Seen::Leg(leg)) = self.seen.get_mut(key) else { return };
+        let Some(Seen::Leg(leg)) = self.seen.get_mut(&key) else { return };
         let (proxy, call) = (leg.proxy, leg.call);
         if leg.sent.is_some() {
             let alike = leg.up.alike(bytes);
@@ -553,7 +554,7 @@
 
     /// A leg counts: its first line has left to the last byte.
     fn leg_sent(&mut self, now: f64, key: LinkKey, head: &str) {
-        let Some(Seen::Leg(leg)) = self.seen.get_mut(key) else { return };
+        let Some(Seen::Leg(leg)) = self.seen.get_mut(&key) else { return };
         let (proxy, node, first) = (leg.proxy, leg.node, leg.first.unwrap_or(now));
         let id = head.split(' ').nth(1).and_then(|id| u64::from_str_radix(id, 16).ok());
         leg.call = id;
@@ -638,7 +639,7 @@
         let mut broken = Vec::new();
         let seen = &self.seen;
         self.overlaps.retain(|(leg, id, at)| {
-            let out = matches!(seen.get(*leg), Some(Seen::Leg(l)) if l.outcome == Outcome::Out
+            let out = matches!(seen.get(leg), Some(Seen::Leg(l)) if l.outcome == Outcome::Out
                 && l.proxy_ended.is_none() && l.far_ended.is_none());
             if out && now - at >= slack {
                 broken.push(*id);
@@ -653,7 +654,7 @@
 
     /// The far side of a link has ended, as the proxy sees it.
     pub(crate) fn far_ended(&mut self, now: f64, key: LinkKey, how: How) {
-        match self.seen.get_mut(key) {
+        match self.seen.get_mut(&key) {
             Some(Seen::Client(call, _)) => {
                 let call = *call;
                 self.trace(now, call, || format!("its client ends ({how:?})"));
@@ -672,7 +673,7 @@
                     }
                     self.over(now, id);
                 }
-                self.seen.remove(key);
+                self.seen.remove(&key);
             }
             Some(Seen::Leg(leg)) => {
                 let (call, node) = (leg.call, leg.node);
@@ -690,7 +691,7 @@
                 self.forget_leg(key);
             }
             Some(Seen::Watch(_) | Seen::Bad | Seen::Front) => {
-                self.seen.remove(key);
+                self.seen.remove(&key);
             }
             None => {}
         }
@@ -698,7 +699,7 @@
 
     /// A leg that was turned away counts as one that never ran.
     fn never_ran(&mut self, key: LinkKey) {
-        let Some(Seen::Leg(leg)) = self.seen.get(key) else { return };
+        let Some(Seen::Leg(leg)) = self.seen.get(&key) else { return };
         let (sent, call) = (leg.sent, leg.call);
         if let Some(call) = call.and_then(|c| self.calls.get_mut(&c)) {
             if call.ran.is_some_and(|(at, _)| Some(at) == sent) {
@@ -709,13 +710,13 @@
 
     /// The proxy has ended its side of a link.
     pub(crate) fn proxy_ended(&mut self, now: f64, key: LinkKey, how: How) {
-        match self.seen.get_mut(key) {
+        match self.seen.get_mut(&key) {
             Some(Seen::Client(Some(id), _)) => {
                 let id = *id;
                 self.trace(now, Some(id), || format!("the proxy ends its client's link ({how:?})"));
                 self.client_cut(now, id);
                 if how != How::Finished {
-                    self.seen.remove(key);
+                    self.seen.remove(&key);
                 }
             }
             Some(Seen::Leg(leg)) => {
@@ -732,7 +733,7 @@
             Some(Seen::Client(None, _) | Seen::Watch(_) | Seen::Bad | Seen::Front)
                 if how != How::Finished =>
             {
-                self.seen.remove(key);
+                self.seen.remove(&key);
             }
             _ => {}
         }
@@ -740,10 +741,10 @@
 
     /// A leg's place is given back once nothing hangs on it.
     fn forget_leg(&mut self, key: LinkKey) {
-        if let Some(Seen::Leg(leg)) = self.seen.get(key) {
+        if let Some(Seen::Leg(leg)) = self.seen.get(&key) {
             let open = leg.call.is_some_and(|c| self.calls.contains_key(&c));
             if !open {
-                self.seen.remove(key);
+                self.seen.remove(&key);
             }
         }
     }
@@ -760,7 +761,7 @@
             let moved = call.own.len() == 6;
             // One that has vanished was heard lately too, and answers no more; within a line there is no place for MOVE.
             let waits = call.unanswered.is_some_and(|at| now - at > NO_ANSWER);
-            let answers = match self.seen.get(leg) {
+            let answers = match self.seen.get(&leg) {
                 Some(Seen::Leg(leg)) => {
                     let stuck = !leg.tail.is_empty() && now - leg.heard > STUCK;
                     leg.far_ended.is_none() && !leg.farewell && now - leg.heard < ANSWERS && !waits && !stuck
@@ -781,15 +782,15 @@
         self.past.push_back((now, id));
         for leg in call.legs {
             let gone =
-                matches!(self.seen.get(leg), Some(Seen::Leg(l)) if l.far_ended.or(l.proxy_ended).is_some());
+                matches!(self.seen.get(&leg), Some(Seen::Leg(l)) if l.far_ended.or(l.proxy_ended).is_some());
             if gone {
-                self.seen.remove(leg);
+                self.seen.remove(&leg);
             }
         }
     }
 
     fn watch_said(&mut self, now: f64, key: LinkKey, proxy: usize, bytes: &[u8]) {
-        let Some(Seen::Watch(watch)) = self.seen.get_mut(key) else { return };
+        let Some(Seen::Watch(watch)) = self.seen.get_mut(&key) else { return };
         watch.line.extend_from_slice(bytes);
         let mut lists: Vec<Value> = Vec::new();
         while let Some(end) = watch.line.iter().position(|b| *b == b'\n') {
@@ -871,10 +872,10 @@
             .seen
             .iter()
             .filter(|(_, s)| matches!(s, Seen::Leg(l) if l.proxy == proxy))
-            .map(|(k, _)| k)
+            .map(|(k, _)| *k)
             .collect();
         for key in links {
-            self.seen.remove(key);
+            self.seen.remove(&key);
         }
     }
 
@@ -935,7 +936,7 @@
                 ));
                 call.unanswered = None;
             }
-            if let Some(Seen::Leg(leg)) = self.seen.get_mut(leg) {
+            if let Some(Seen::Leg(leg)) = self.seen.get_mut(&leg) {
                 let late = |since: Option<f64>| since.is_some_and(|at| now - at > HELD + SLACK);
                 let open = leg.far_ended.is_none() && leg.proxy_ended.is_none();
                 if open && !moved && (late(leg.down.since) || late(leg.up.since)) {
