A successor that is signalled while it waits goes on waiting

Cause: recvmsg with a time limit ends with EINTR after any handler, and was not made again. Ruled out: the old process, which had answered. Change: it is made again; so are sendmsg on the other side and connects to the control socket, which end the same way. Reads and writes of lines already were. Test: signalled twice while it waits, a successor goes by the answer that comes after; it failed before.

--- a/crates/dewhead-proxy/src/control/predecessor.rs
+++ b/crates/dewhead-proxy/src/control/predecessor.rs
@@ -3,8 +3,10 @@
 
 use super::ask::{understood, PATIENCE};
 use super::words;
+use crate::transient::persist;
 use mio::net::UnixStream;
 use mio::{Interest, Registry, Token};
+use rustix::io::Errno;
 use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use serde_json::Value;
 use std::io::{self, BufRead, BufReader, IoSliceMut, Read, Write};
@@ -31,7 +33,7 @@
     /// One line that names the socket: nobody answers there, or the process hands nothing on.
     pub fn ask(socket: &Path) -> Result<Predecessor, String> {
         let fault = |e: io::Error| format!("{}: {e}", socket.display());
-        let mut stream = BlockingUnixStream::connect(socket).map_err(fault)?;
+        let mut stream = persist(|| BlockingUnixStream::connect(socket)).map_err(fault)?;
         stream.set_read_timeout(Some(PATIENCE)).map_err(fault)?;
         stream.write_all(words::line("succeed", None, None).as_bytes()).map_err(fault)?;
         let mut listener = None;
@@ -41,8 +43,11 @@
             let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
             let mut control = RecvAncillaryBuffer::new(&mut space);
             let mut parts = [IoSliceMut::new(&mut some)];
-            let got = recvmsg(&stream, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC);
-            let got = got.map_err(|e| fault(e.into()))?.bytes;
+            let got = match recvmsg(&stream, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC) {
+                // A signal; what it asks for is done once the loop runs.
+                Err(Errno::INTR) => continue,
+                other => other.map_err(|e| fault(e.into()))?.bytes,
+            };
             for message in control.drain() {
                 if let RecvAncillaryMessage::ScmRights(sockets) = message {
                     listener = sockets.map(std::net::TcpListener::from).last().or(listener);
--- a/crates/dewhead-proxy/src/control/socket.rs
+++ b/crates/dewhead-proxy/src/control/socket.rs
@@ -3,6 +3,7 @@
 
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
+use rustix::io::Errno;
 use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use std::io::{self, IoSlice, Read, Write};
 use std::os::fd::BorrowedFd;
@@ -130,7 +131,12 @@
         let handed = [handed];
         control.push(SendAncillaryMessage::ScmRights(&handed));
         let parts = [IoSlice::new(text.as_bytes())];
-        let gone = sendmsg(&visitor.socket, &parts, &mut control, SendFlags::NOSIGNAL)?;
+        let gone = loop {
+            match sendmsg(&visitor.socket, &parts, &mut control, SendFlags::NOSIGNAL) {
+                Err(Errno::INTR) => {}
+                other => break other?,
+            }
+        };
         visitor.out.extend_from_slice(&text.as_bytes()[gone..]);
         Ok(())
     }
--- a/crates/dewhead-proxy/tests/common/processes.rs
+++ b/crates/dewhead-proxy/tests/common/processes.rs
@@ -72,6 +72,13 @@
         Process(command.spawn().unwrap())
     }
 
+    /// The same, with its log to be read.
+    pub fn serve_telling(&self, config: &Path, more: &[String]) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
+        command.args(["serve", "--config"]).arg(config).args(more).stderr(Stdio::piped());
+        Process(command.spawn().unwrap())
+    }
+
     /// Waits until the process with this id answers at the control socket.
     pub fn until(&self, process: u32) -> Value {
         let began = Instant::now();
--- a/crates/dewhead-proxy/tests/handover_stop.rs
+++ b/crates/dewhead-proxy/tests/handover_stop.rs
@@ -14,7 +14,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::time::{Duration, Instant};
 
 /// The longest guard time of the settings, and what the page adds to it.
@@ -178,3 +178,28 @@
     assert!(answer.contains("\"ok\":false") && answer.contains("stopping"), "{answer}");
     assert_eq!(moved(&mut at_old, told), STANDING as usize);
 }
+
+/// A signal that comes while a successor waits for what the old process hands on ends that wait with `EINTR`, and the
+/// successor gave up: 'control: Interrupted system call' (soak, seed 630). The handover failed, and a stop that a supervisor had
+/// sent to the successor was answered with exit code 1 while the old process served on.
+#[test]
+fn a_successor_that_is_signalled_while_it_waits_goes_on_waiting() {
+    let place = Place::new("signalled");
+    let config = place.configure("config.json", 256, false);
+    let control = UnixListener::bind(place.control()).expect("the test answers in the old process's place");
+    let take_over = ["--take-over", place.control().to_str().expect("a path in UTF-8")].map(str::to_owned);
+    let mut successor = place.serve_telling(&config, &take_over);
+    let (mut asked, _) = control.accept().expect("the successor asks");
+    let mut request = String::new();
+    BufReader::new(asked.try_clone().expect("a socket can be cloned"))
+        .read_line(&mut request)
+        .expect("a line");
+    for signal_sent in [Signal::HUP, Signal::TERM] {
+        signal(&successor, signal_sent);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    asked.write_all(b"{\"version\":1,\"ok\":false,\"fault\":\"no socket today\"}\n").expect("it still waits");
+    let mut told = String::new();
+    successor.0.stderr.take().expect("it is read").read_to_string(&mut told).expect("text");
+    assert!(told.contains("no socket today"), "{told}");
+}
