The guard and the auditor hold rule 4 by the operators' figures, apart from the decisions

What was wrong: the run-time check took its limit from the balancer's own budget, margin included, so that it moved with the code that it checks; the lab's auditor looked only for a node that fell. Change: guard/cold_start.rs reckons N from the settings, the list and what this proxy's servers carry or the shops agreed on, then two roots and two, or three and three under 30; audit/cold_start.rs sums over all proxies that were told of a start, in any window of the settings' length, with N from the settings and the node's size. slow_start_limit goes. Limit of it: a proxy sees its own sends alone, and checks them against the limit of all; the sum is seen in the lab only.

--- a/crates/dewhead-lab/tests/simulated.rs
+++ b/crates/dewhead-lab/tests/simulated.rs
@@ -162,3 +162,22 @@
         assert_eq!(host.open_sessions(), 0, "sessions are left over");
     }
 }
+
+/// A release with four times the budget that the rule leaves: the sum of all proxies is over the limit, though no node falls.
+#[test]
+fn budgets_that_are_too_high_are_seen_by_the_sum_over_all_proxies() {
+    let release =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../experiments/release.toml"));
+    let mut of = Experiment::read(&release.expect("it is there")).expect("it is sound");
+    let breaches = |of: &Experiment, seed| {
+        let played = play(&Task { point: String::new(), of: of.clone(), seed, who: Who::Dewhead });
+        let cold: Vec<_> = played.breaches.into_iter().filter(|b| b.rule == Rule::ColdNodes).collect();
+        assert_eq!(played.outcome.counts.nodes_fallen, 0, "seed {seed}");
+        cold.len()
+    };
+    for seed in 1..=3 {
+        assert_eq!(breaches(&of, seed), 0, "seed {seed}: told what the rule is");
+    }
+    of.proxy.told_fall_multiple = Some(4.0 * of.rules.fall_multiple);
+    assert!((1..=3).any(|seed| breaches(&of, seed) > 0), "told four times that");
+}
--- a/crates/dewhead-proxy/src/guard.rs
+++ b/crates/dewhead-proxy/src/guard.rs
@@ -4,6 +4,8 @@
 //! The checks go by what the proxy itself has seen and share nothing with the decisions that they check. What fails one
 //! is a fault of the program: it is counted, told in the log with the request's id, and not done where that is possible.
 
+pub mod cold_start;
+
 use dewhead::terms::{Effect, Group};
 use log::error;
 use std::fmt;
--- a/crates/dewhead-proxy/src/memory/servers.rs
+++ b/crates/dewhead-proxy/src/memory/servers.rs
@@ -11,6 +11,7 @@
     pub state: State,
     pub zone: usize,
     pub cell: u64,
+    pub weight: f64,
     /// When requests were sent there in the last window, while it is in slow start.
     pub recent: VecDeque<f64>,
     pub started: Option<f64>,
@@ -46,6 +47,7 @@
                 state: listed.state,
                 zone: listed.zone,
                 cell: listed.cell,
+                weight: listed.weight,
                 recent: VecDeque::new(),
                 started: listed.started,
                 born: None,
@@ -56,11 +58,13 @@
             };
             let address = self.0.entry(listed.id).or_insert(fresh);
             (address.state, address.zone, address.cell) = (listed.state, listed.zone, listed.cell);
+            address.weight = listed.weight;
             address.dial = *dial;
             if address.started != listed.started {
                 // A process that started anew has a pace of its own.
                 address.started = listed.started;
                 address.pace = Pace::default();
+                address.recent.clear();
                 address.delays = [(0.0, f64::NEG_INFINITY); 2];
             }
         }
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -10,6 +10,7 @@
 mod succession;
 mod watch;
 
+use crate::guard::cold_start::ColdStartLimit;
 use crate::guard::Guard;
 use crate::memory::counters::{AnswerReason, Counters};
 use crate::memory::pace::Kinds;
@@ -177,6 +178,8 @@
     traffic: Vec<TrafficType>,
     two_at_once: bool,
     guard: Guard,
+    cold_start: ColdStartLimit,
+    weights_are_sizes: bool,
     counters: Counters,
     wall_clock: WallClock,
     timers: Timers<Due>,
@@ -217,6 +220,7 @@
         let slow_unit = longest_guard / 30.0;
         let kinds = Kinds::new(startup.known.traffic.len());
         let (traffic, two_at_once) = (startup.traffic().to_vec(), startup.two_at_once());
+        let slow_start = startup.slow_start();
         let (balancer, known) = startup.balancer(seed, door.clone());
         let mut reducer = Reducer {
             balancer,
@@ -237,6 +241,8 @@
             traffic,
             two_at_once,
             guard: Guard::default(),
+            weights_are_sizes: slow_start.weights_are_sizes,
+            cold_start: ColdStartLimit::new(slow_start),
             counters: Counters::default(),
             wall_clock: WallClock::default(),
             timers: Timers::default(),
--- a/crates/dewhead-proxy/src/reducer/legs.rs
+++ b/crates/dewhead-proxy/src/reducer/legs.rs
@@ -1,9 +1,10 @@
 //! Legs: dialled, asked, answered, ended.
 
 use super::{Due, Effect, End, How, Reducer, SETUPS, TO_REFUSE};
+use crate::guard::cold_start::Carried;
 use crate::guard::{Repeating, Sending, Sent};
 use crate::memory::counters::{AnswerReason, CloseReason};
-use crate::memory::sessions::{LegStage, Out, Stage};
+use crate::memory::sessions::{LegStage, Out, Stage, Who};
 use crate::wire::answers::{self, word, Word};
 use crate::wire::lines::{first, trimmed};
 use dewhead::terms::{Ending, State};
@@ -74,20 +75,49 @@
         if returning {
             return true;
         }
-        let limit = self.balancer.slow_start_limit(now, out.server);
-        let (Some(limit), Some(server)) = (limit, self.servers.0.get_mut(&out.server)) else {
+        let id = out.server;
+        self.may_start(now, id, &who)
+    }
+
+    /// Whether a server may be sent a request by the rule about those that have just started.
+    fn may_start(&mut self, now: f64, id: u64, who: &Who) -> bool {
+        let Some(server) = self.servers.0.get(&id) else { return true };
+        let Some(age) = server.started.map(|at| now - at).filter(|age| self.cold_start.is_cold(*age)) else {
             return true;
         };
-        while server.recent.front().is_some_and(|at| *at <= now - limit.window) {
+        let weight = if self.weights_are_sizes { server.weight } else { 1.0 };
+        let carried = self.carried();
+        self.cold_start.observe(&carried);
+        let most = self.cold_start.most(weight, age);
+        let window = self.cold_start.window();
+        let Some(server) = self.servers.0.get_mut(&id) else { return true };
+        while server.recent.front().is_some_and(|at| *at <= now - window) {
             server.recent.pop_front();
         }
-        let allowed = self.guard.may_start(server.recent.len(), limit.most, &who).is_ok();
+        let allowed = self.guard.may_start(server.recent.len(), most, who).is_ok();
         if allowed {
             server.recent.push_back(now);
         }
         allowed
     }
 
+    /// What stands at each location's servers, and the weight of those that are ready.
+    fn carried(&self) -> Vec<Carried> {
+        let mut locations = vec![Carried { connections: 0, weight: 0.0 }; self.known.zones.len().max(1)];
+        for server in self.servers.0.values().filter(|server| server.state == State::Ready) {
+            if let Some(location) = locations.get_mut(server.zone) {
+                location.weight += if self.weights_are_sizes { server.weight } else { 1.0 };
+            }
+        }
+        for (_, leg) in &self.legs {
+            let zone = self.servers.0.get(&leg.server).map(|server| server.zone);
+            if let Some(location) = zone.and_then(|zone| locations.get_mut(zone)) {
+                location.connections += 1;
+            }
+        }
+        locations
+    }
+
     /// Puts a connection back to the server that held it.
     pub(super) fn dial(&mut self, now: f64, key: usize, server: u64, until: f64) {
         if !self.dial_as(now, key, server, until, 0) {
--- a/crates/dewhead-proxy/tests/guard.rs
+++ b/crates/dewhead-proxy/tests/guard.rs
@@ -1,7 +1,9 @@
 //! The guard finds each broken promise, and lets what is allowed go.
 
 use dewhead::terms::{Effect, Group};
+use dewhead_proxy::guard::cold_start::{Carried, ColdStartLimit};
 use dewhead_proxy::guard::{Guard, Owed, Repeating, Sending, Sent, Violation};
+use dewhead_startup::SlowStartTerms;
 
 const SENT: Sent = Sent { at: 100.0, zone: 1, cell: 4 };
 const SOUND: Sending = Sending { client_waits: true, in_time: true, server_ready: true };
@@ -82,3 +84,37 @@
     assert_eq!(guard.may_start(5, 5.9, &"request"), Ok(()));
     assert_eq!(guard.may_start(6, 5.9, &"request"), Err(Violation::SlowStartExceeded));
 }
+
+/// The operators' figures: N, and two roots of N and two; under 30 three roots and three. The limit follows the settings, the
+/// list and what is carried; a budget of the decisions that is set too high does not raise it, and is refused beyond it.
+#[test]
+fn the_limit_of_a_cold_server_is_reckoned_apart_from_the_decisions() {
+    let terms = SlowStartTerms {
+        cold_share: 0.2,
+        warm_after: 10.0,
+        multiple: 2.5,
+        window: 2.0,
+        proxies: 30.0,
+        agreed: 2000.0,
+        weights_are_sizes: true,
+    };
+    let mut limit = ColdStartLimit::new(terms);
+    let locations =
+        |connections| [Carried { connections, weight: 10.0 }, Carried { connections, weight: 10.0 }];
+    limit.observe(&locations(10));
+    // 100 connections fill a unit of weight by what was agreed on, and half of them are there at this age.
+    let large = 2.5 * 2.0 * 400.0 * 0.6 / 10.0;
+    assert!((limit.most(4.0, 5.0) - (large + 2.0 * f64::sqrt(large) + 2.0)).abs() < 1e-9);
+    let small = 2.5 * 2.0 * 100.0 * 0.2 / 10.0;
+    assert!((limit.most(1.0, 0.0) - (small + 3.0 * f64::sqrt(small) + 3.0)).abs() < 1e-9);
+    // What is carried beyond that counts too, also when it stands there no more.
+    limit.observe(&locations(100));
+    limit.observe(&locations(0));
+    assert!((limit.most(1.0, 0.0) - (30.0 + 2.0 * f64::sqrt(30.0) + 2.0)).abs() < 1e-9);
+    // A proxy that goes on sending is stopped there.
+    let mut guard = Guard::default();
+    let most = limit.most(4.0, 5.0);
+    let sent = (0..1000).take_while(|sent| guard.may_start(*sent, most, &"request").is_ok()).count();
+    assert_eq!(sent, most.ceil() as usize);
+    assert_eq!(guard.total(), 1);
+}
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -18,6 +18,23 @@
     pub shops: Vec<String>,
 }
 
+/// What the settings say of servers that have just started, for checks that stand apart from the decisions. Times are
+/// seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStartTerms {
+    /// What part of its capacity a server has at its start, at the least, and when it is warm at the latest.
+    pub cold_share: f64,
+    pub warm_after: f64,
+    /// A server that is sent this many times its present capacity over the window falls.
+    pub multiple: f64,
+    pub window: f64,
+    pub proxies: f64,
+    /// Connections that all shops together have agreed on; 0 where not told.
+    pub agreed: f64,
+    /// Whether a server's weight tells its size.
+    pub weights_are_sizes: bool,
+}
+
 /// What the settings hold, checked; `balancer` puts it together.
 pub struct Startup {
     pub known: Known,
@@ -129,6 +146,19 @@
         &self.traffic
     }
 
+    /// What the settings say of servers that have just started.
+    pub fn slow_start(&self) -> SlowStartTerms {
+        SlowStartTerms {
+            cold_share: self.thaw.cold_share,
+            warm_after: self.thaw.warm_after,
+            multiple: self.thaw.multiple,
+            window: self.thaw.window,
+            proxies: self.siblings.max(1) as f64,
+            agreed: self.shops.iter().map(|shop| shop.standing).sum(),
+            weights_are_sizes: !self.live,
+        }
+    }
+
     /// Whether two attempts of a call may be out at the same time.
     pub fn two_at_once(&self) -> bool {
         self.legs.two_at_once
--- a/crates/dewhead-world/src/audit.rs
+++ b/crates/dewhead-world/src/audit.rs
@@ -2,9 +2,12 @@
 //! by itself and shares no code with the proxy. It keeps, for each open call, what was seen of it, and says which rule a
 //! proxy has broken, with the call's whole trace.
 
+mod cold_start;
+
 use crate::experiment::{Effect, Experiment, Scope};
 use crate::nodes::Node;
 use crate::world::{Bytes, Far, How, LinkKey};
+use cold_start::{ColdNode, ColdStartRule};
 use serde::Serialize;
 use serde_json::Value;
 use std::collections::{BTreeMap, VecDeque};
@@ -161,6 +164,10 @@
     most_legs: u32,
     second_copies: bool,
     grace: f64,
+    cold_start: ColdStartRule,
+    /// Nodes' sizes in standard cores, and what was sent to each while it was cold.
+    cores: Vec<f64>,
+    cold: Vec<ColdNode>,
     places: Vec<(usize, u64)>,
     names: BTreeMap<String, usize>,
     /// By key and not by slot: a leg may be needed after its link has gone, as lines of it are still on their way, and the
@@ -222,6 +229,9 @@
             most_legs: of.rules.most_legs,
             second_copies: of.rules.second_copies,
             grace: of.rules.drain_grace,
+            cold_start: ColdStartRule::of(of),
+            cores: nodes.iter().map(|n| n.warm).collect(),
+            cold: nodes.iter().map(|_| ColdNode::default()).collect(),
             places: nodes.iter().map(|n| (n.zone, n.cell)).collect(),
             names: names.iter().cloned().enumerate().map(|(n, name)| (name, n)).collect(),
             seen: BTreeMap::new(),
@@ -580,6 +590,7 @@
         if put_back {
             return;
         }
+        self.cold_node_sent(now, proxy, node);
         if sent > self.most_legs {
             let what = format!("leg {sent}, where {} are allowed", self.most_legs);
             self.breach(now, Rule::NoEffectTwice, proxy, Some(id), what);
@@ -634,6 +645,22 @@
         }
     }
 
+    /// Counts what proxies that have been told of a node's start send it while it is cold.
+    fn cold_node_sent(&mut self, now: f64, proxy: usize, node: usize) {
+        let Some((started, told)) = self.told[proxy][node].start else { return };
+        if told > now || !started.is_finite() {
+            return;
+        }
+        let found = self.cold[node].sent(now, started, self.cores[node], &self.cold_start);
+        if let Some((sent, most)) = found {
+            let what = format!(
+                "cold node {node} was sent {sent} requests in a window, {:.3} s after its start, of {most:.1} allowed",
+                now - started
+            );
+            self.breach(now, Rule::ColdNodes, proxy, None, what);
+        }
+    }
+
     fn settle_overlaps(&mut self, now: f64) {
         let slack = self.slack;
         let mut broken = Vec::new();
--- a/crates/dewhead-world/src/experiment.rs
+++ b/crates/dewhead-world/src/experiment.rs
@@ -209,6 +209,10 @@
     pub start: Range,
     /// Over how many seconds an old process sends its clients away once another has taken its place.
     pub leave_in: f64,
+    /// The multiple of a cold node's capacity that proxies are told where that is not the rule's own; too high, they
+    /// send more than the rule allows.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub told_fall_multiple: Option<f64>,
     pub sockets: usize,
     pub memory_mb: u64,
 }
@@ -424,7 +428,13 @@
 
 impl Default for ProxyWays {
     fn default() -> Self {
-        ProxyWays { start: [0.05, 0.3], leave_in: 5.0, sockets: 40_000, memory_mb: 1024 }
+        ProxyWays {
+            start: [0.05, 0.3],
+            leave_in: 5.0,
+            told_fall_multiple: None,
+            sockets: 40_000,
+            memory_mb: 1024,
+        }
     }
 }
 
--- a/crates/dewhead-world/src/settings.rs
+++ b/crates/dewhead-world/src/settings.rs
@@ -7,6 +7,16 @@
     (seconds * 1e6).round() / 1e3
 }
 
+/// The part of its capacity that every node has at its start, at the least.
+pub(crate) fn told_cold_share(of: &Experiment) -> f64 {
+    of.machines.iter().map(|m| m.cold_share[0]).fold(1.0, f64::min)
+}
+
+/// When every node is warm, in seconds after its start.
+pub(crate) fn told_warm_after(of: &Experiment) -> f64 {
+    of.machines.iter().map(|m| m.warm_after[1]).fold(0.0, f64::max)
+}
+
 /// The settings of the `position`-th proxy.
 pub fn settings(of: &Experiment, position: usize) -> Value {
     let kinds = of.traffic.iter().map(|t| {
@@ -24,8 +34,6 @@
                "setupTarget": ms(t.setup_target), "guardTime": ms(t.guard_time), "revenue": t.revenue})
     });
     let shops: f64 = of.shops.iter().map(|s| s.share).sum();
-    let cold_share = of.machines.iter().map(|m| m.cold_share[0]).fold(1.0, f64::min);
-    let warm_after = of.machines.iter().map(|m| m.warm_after[1]).fold(0.0, f64::max);
     let rules = &of.rules;
     json!({
         "azs": of.fleet.zones,
@@ -40,9 +48,9 @@
         "limits": {"mostLegs": rules.most_legs, "secondCopies": rules.second_copies, "cancel": true,
                    "retryAfter": rules.retry_after, "maxRetryAfter": ms(rules.longest_stay_away),
                    "connectTimeout": ms(rules.connect_timeout)},
-        "obligations": {"coldShare": cold_share,
-                        "cold": ms(warm_after),
-                        "fallMultiple": rules.fall_multiple, "tipAfter": ms(rules.fall_after)},
+        "obligations": {"coldShare": told_cold_share(of),
+                        "cold": ms(told_warm_after(of)),
+                        "fallMultiple": of.proxy.told_fall_multiple.unwrap_or(rules.fall_multiple), "tipAfter": ms(rules.fall_after)},
         "specifics": {"messageAim": of.traffic.iter().map(|t| ms(t.message_target)).collect::<Vec<_>>(), "groups": false}
     })
 }
--- a/crates/dewhead/src/slow_start.rs
+++ b/crates/dewhead/src/slow_start.rs
@@ -7,20 +7,9 @@
 /// Rule 4's budget is reckoned by connections and spent to this multiple: a connection asks its load all its life, and
 /// counts here as if it asked for all of it in the warm-up.
 const MARGIN: f64 = 2.0;
-/// Where rule 4 allows fewer calls than this in a window, it puts three roots of them and three down to chance, else two.
-const FEW_CALLS: f64 = 30.0;
 /// The golden section: its multiples spread evenly between 0 and 1, however many there are.
 pub(crate) const GOLDEN: f64 = 0.618_033_988_749_895;
 
-/// What all balancers together may send a server in slow start.
-#[derive(Clone, Copy, Debug)]
-pub struct SlowStartLimit {
-    /// Requests in any window.
-    pub most: f64,
-    /// The window's length in seconds.
-    pub window: f64,
-}
-
 impl Thaw {
     /// 1 when warm, the cold share at the start, evenly between.
     fn present(&self, age: f64) -> f64 {
@@ -56,18 +45,6 @@
         part * (MARGIN * self.thaw.multiple * self.thaw.window / self.thaw.warm_after).min(1.0)
     }
 
-    /// The limit of a server in slow start as this balancer reckons it; none once the server is warm.
-    pub fn slow_start_limit(&self, now: f64, id: u64) -> Option<SlowStartLimit> {
-        let server = self.named(id)?;
-        let age = now - server.started.get();
-        if age >= self.thaw.warm_after {
-            return None;
-        }
-        let allowed = self.siblings * self.budget_of_a_window(&server, age);
-        let (roots, more) = if allowed < FEW_CALLS { (3.0, 3.0) } else { (2.0, 2.0) };
-        Some(SlowStartLimit { most: allowed + roots * allowed.sqrt() + more, window: self.thaw.window })
-    }
-
     /// Rule 4 puts two requests a window down to chance, however little a server can do. Turns of a window each, which
     /// all balancers reckon alike, let one of them send one: two turns meet in any window, whoever else there is.
     fn turn(&self, now: f64, server: &Server) -> (f64, f64) {
