--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod shape;
 
 use dewhead::outward::Outward;
-use dewhead::state::{Balancer, Legs, Place, Shares, Thaw, Watch};
+use dewhead::state::{Balancer, Legs, Place, Shares, SlowStart, Watch};
 use dewhead::terms::{Effect, Group, Shop, TrafficType};
 use fields::{array, field, maybe, names, number, place_in, seconds, text, truth, whole, Outcome};
 use serde_json::Value;
@@ -59,7 +59,7 @@
     home: usize,
     crossing: f64,
     moving: f64,
-    thaw: Thaw,
+    slow_start: SlowStart,
     legs: Legs,
     live: bool,
     /// Whether servers tell their load when probed, where the host has a word for it.
@@ -97,7 +97,7 @@
         let reported = text(feedback, "how")? != "off";
         let asked_field = names(feedback, "fields")?.iter().position(|f| reported && f == "x0");
         let probes = asked_field.is_some() && maybe(limits, "probes", truth)?.unwrap_or(false);
-        let thaw = Thaw {
+        let slow_start = SlowStart {
             cold_share: number(rules, "coldShare")?,
             // Warm at once is a warm-up of no time; times are divided by it.
             warm_after: seconds(rules, "cold")?.max(1e-3),
@@ -131,7 +131,7 @@
             home: place_in(told, "locality", &zones)?,
             crossing: number(prices, "crossZone")?,
             moving: number(prices, "moves")?,
-            thaw,
+            slow_start,
             legs,
             live: match maybe(told, "weights", text)?.unwrap_or("nominal") {
                 "live" => true,
@@ -149,10 +149,10 @@
     /// What the settings say of servers that have just started.
     pub fn slow_start(&self) -> SlowStartTerms {
         SlowStartTerms {
-            cold_share: self.thaw.cold_share,
-            warm_after: self.thaw.warm_after,
-            multiple: self.thaw.multiple,
-            window: self.thaw.window,
+            cold_share: self.slow_start.cold_share,
+            warm_after: self.slow_start.warm_after,
+            multiple: self.slow_start.multiple,
+            window: self.slow_start.window,
             proxies: self.siblings.max(1) as f64,
             agreed: self.shops.iter().map(|shop| shop.standing).sum(),
             weights_are_sizes: !self.live,
@@ -181,7 +181,7 @@
             Watch::new(self.must_ask, self.deemed_after),
             Place::new(self.home, self.crossing, self.moving),
             self.known.zones.len(),
-            self.thaw,
+            self.slow_start,
             self.legs,
             if self.groups { 1.0 } else { 0.0 },
             self.live,
--- a/crates/dewhead/src/rules.rs
+++ b/crates/dewhead/src/rules.rs
@@ -1,6 +1,6 @@
 //! All decisions of the balancer.
 //!
-//! How to call it: build the parts of `state.rs` (`Watch`, `Place`, `Shares`, `Thaw`, `Legs`) from the few
+//! How to call it: build the parts of `state.rs` (`Watch`, `Place`, `Shares`, `SlowStart`, `Legs`) from the few
 //! settings each takes, hand them to `Balancer::new` with a seed and the door (`outward.rs`), call `begin`,
 //! then tell it what happens. `take` gives a handle to the call, and all that happens to the call later is a
 //! method of that handle. Every method takes the clock; the module has none, and no I/O. Words: `terms.rs`.
@@ -368,8 +368,8 @@
         // What a crowd has just brought is not yet what a server carries: it counts over the warm-up. Not so what comes
         // back to a balancer that has started itself: in a rolling restart none else had a part to fill new servers by.
         let (held, before) = (held / f64::max(ours, f64::MIN_POSITIVE), self.held_by_weight.get());
-        let gap = (now - self.picked_at.replace(now)).max(0.0) / self.thaw.warm_after;
-        let young = now - self.began.get() < self.thaw.warm_after;
+        let gap = (now - self.picked_at.replace(now)).max(0.0) / self.slow_start.warm_after;
+        let young = now - self.began.get() < self.slow_start.warm_after;
         let rise = if young { 0.0 } else { (held - before).max(0.0) * (-gap).exp() };
         self.held_by_weight.set(held - rise);
         self.most_near.set(self.most_near.get().max(ours));
@@ -401,7 +401,7 @@
             let factor = self.place.factor(server.zone, price);
             let (share, load) = (weight * per_weight, server.load.get() as f64);
             // A server just warmed holds little yet, and a crowd would all go there: it has its pace too.
-            let filling = age < 3.0 * self.thaw.warm_after && load < 0.5 * share;
+            let filling = age < 3.0 * self.slow_start.warm_after && load < 0.5 * share;
             let limit = server.limit(now, growth);
             // A server that holds what it can carry is sent nothing: overdriven ones drop what they hold, and
             // the crowd that returns keeps them so. A server that nothing is known of is as likely to be
@@ -413,7 +413,7 @@
             if load > 0.0 || limit.is_finite() {
                 location.tally(weight, load + (1.0 - server.rounding) * mean > ROOM * limit || full);
             }
-            let unknown = load == 0.0 && limit.is_infinite() && age >= 3.0 * self.thaw.warm_after;
+            let unknown = load == 0.0 && limit.is_infinite() && age >= 3.0 * self.slow_start.warm_after;
             if closed || (unknown && server.rounding < location.closed.get()) {
                 skipped.count(if closed { Refusal::AtLimit } else { Refusal::Unknown });
                 continue;
@@ -435,7 +435,7 @@
             }
             // The costly terms, only for a server that may yet be the best.
             if best.as_ref().is_none_or(|(most, _)| left >= *most) {
-                let cold = age < self.thaw.warm_after || filling;
+                let cold = age < self.slow_start.warm_after || filling;
                 if cold && !self.within_budget(now, server, age) {
                     skipped.count(Refusal::SlowStart);
                     continue;
--- a/crates/dewhead/src/slow_start.rs
+++ b/crates/dewhead/src/slow_start.rs
@@ -1,7 +1,7 @@
 //! Slow start, rule 4: how much a server that has just started is sent by all balancers together. Each balancer spends a
 //! budget of its own, which adds up to what the settings allow, and takes turns with the others beyond it.
 
-use crate::state::{Balancer, Server, Thaw};
+use crate::state::{Balancer, Server, SlowStart};
 use oorandom::Rand64;
 
 /// Rule 4's budget is reckoned by connections and spent to this multiple: a connection asks its load all its life, and
@@ -10,7 +10,7 @@
 /// The golden section: its multiples spread evenly between 0 and 1, however many there are.
 pub(crate) const GOLDEN: f64 = 0.618_033_988_749_895;
 
-impl Thaw {
+impl SlowStart {
     /// 1 when warm, the cold share at the start, evenly between.
     fn present(&self, age: f64) -> f64 {
         self.cold_share + (1.0 - self.cold_share) * (age / self.warm_after).clamp(0.0, 1.0)
@@ -24,7 +24,7 @@
     /// at that pace times the present share, the multiple and a margin. Beyond it there are turns.
     pub(crate) fn within_budget(&self, now: f64, server: &Server, age: f64) -> bool {
         let a_window = self.budget_of_a_window(server, age);
-        let fill = a_window / self.thaw.window;
+        let fill = a_window / self.slow_start.window;
         let budget = server.budget.get() + fill * (now - server.budget_at.get()).max(0.0);
         // What finds no call in half a window lapses: what many balancers had saved up came to one server in a burst.
         let most = (0.5 * a_window).max(1.0) + (0.5 * a_window).min(1.0);
@@ -39,21 +39,22 @@
         let near = self.place.factor(server.zone, 1.0).max(0.0);
         let agreed = self.shares.standing / self.siblings / self.most_near.get().max(f64::MIN_POSITIVE);
         let held = self.held_by_weight.get().max(agreed);
-        let part = near * held * self.size(server) * self.thaw.present(age);
+        let part = near * held * self.size(server) * self.slow_start.present(age);
         // However short the warm-up, a window brings no more than the server can hold now: a multiple of that
         // makes it fall.
-        part * (MARGIN * self.thaw.multiple * self.thaw.window / self.thaw.warm_after).min(1.0)
+        part * (MARGIN * self.slow_start.multiple * self.slow_start.window / self.slow_start.warm_after)
+            .min(1.0)
     }
 
     /// Rule 4 puts two requests a window down to chance, however little a server can do. Turns of a window each, which
     /// all balancers reckon alike, let one of them send one: two turns meet in any window, whoever else there is.
     fn turn(&self, now: f64, server: &Server) -> (f64, f64) {
-        let turn = ((now - server.started.get()) / self.thaw.window).floor();
+        let turn = ((now - server.started.get()) / self.slow_start.window).floor();
         (turn, ((rank(0, server.id) + turn * GOLDEN).fract() * self.siblings).floor())
     }
 
     pub(crate) fn count_sent(&self, now: f64, server: &Server, load: f64) {
-        if now - server.started.get() < 3.0 * self.thaw.warm_after {
+        if now - server.started.get() < 3.0 * self.slow_start.warm_after {
             // What no budget was left for went by its turn.
             let left = server.budget.get() - (load / self.mean_load()).max(1.0);
             server.budget.set(left + f64::from(u8::from(server.budget.get() < 1.0)));
--- a/crates/dewhead/src/state.rs
+++ b/crates/dewhead/src/state.rs
@@ -60,7 +60,7 @@
 }
 
 /// Rule 4: how much a server that has just started is sent.
-pub struct Thaw {
+pub struct SlowStart {
     pub cold_share: f64,
     pub warm_after: f64,
     pub multiple: f64,
@@ -234,7 +234,7 @@
     pub(crate) watch: Watch,
     pub(crate) place: Place,
     pub(crate) locations: Vec<Location>,
-    pub(crate) thaw: Thaw,
+    pub(crate) slow_start: SlowStart,
     pub(crate) legs: Legs,
     pub(crate) group_cost: f64,
     /// Whether the list's weights move with load, and so tell what servers hold.
@@ -296,7 +296,7 @@
         watch: Watch,
         place: Place,
         locations: usize,
-        thaw: Thaw,
+        slow_start: SlowStart,
         legs: Legs,
         group_cost: f64,
         live: bool,
@@ -315,7 +315,7 @@
             watch,
             place,
             locations: (0..locations.max(1)).map(|_| Location::default()).collect(),
-            thaw,
+            slow_start,
             legs,
             shared: Health::new(0.0),
             group_cost,
--- a/crates/dewhead/tests/common/mod.rs
+++ b/crates/dewhead/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A door that keeps book of what a balancer does and fails the moment a rule is broken.
 
 use dewhead::outward::Outward;
-use dewhead::state::{Balancer, Call, Legs, Place, Shares, Thaw, Watch};
+use dewhead::state::{Balancer, Call, Legs, Place, Shares, SlowStart, Watch};
 use dewhead::terms::{Effect, Ending, Group, Listed, News, Shop, State, TrafficType, Wanted};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -163,7 +163,7 @@
         watcher.two_at_once.set(legs.two_at_once);
         watcher.now.set(100.0);
         let shops = agreed.into_iter().map(|standing| Shop { share: 0.5, standing }).collect();
-        let thaw = Thaw { cold_share: 0.25, warm_after: 8.0, multiple: 3.0, window: 2.0 };
+        let slow_start = SlowStart { cold_share: 0.25, warm_after: 8.0, multiple: 3.0, window: 2.0 };
         let balancer = Balancer::new(
             u128::from(seed),
             watcher.clone(),
@@ -174,7 +174,7 @@
             Watch::new(ask, 10.0),
             Place::new(0, price, 0.01),
             3,
-            thaw,
+            slow_start,
             legs,
             1.0,
             live,
--- a/crates/dewhead/tests/fleet/mod.rs
+++ b/crates/dewhead/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 //! a cold server. Servers bear so many mean connections by weight, and drop the newest beyond that.
 
 use dewhead::outward::Outward;
-use dewhead::state::{Balancer, Call, Legs, Place, Shares, Thaw, Watch};
+use dewhead::state::{Balancer, Call, Legs, Place, Shares, SlowStart, Watch};
 use dewhead::terms::{Effect, Ending, Listed, News, Shop, State, TrafficType, Wanted};
 use oorandom::Rand64;
 use std::cell::{Cell, RefCell};
@@ -164,7 +164,7 @@
             Watch::new(false, 10.0),
             Place::new(0, 0.0, 0.01),
             1,
-            Thaw { cold_share: SHARE, warm_after: WARM, multiple: MULTIPLE, window: WINDOW },
+            SlowStart { cold_share: SHARE, warm_after: WARM, multiple: MULTIPLE, window: WINDOW },
             legs,
             if self.day.groups > 0 { 1.0 } else { 0.0 },
             false,
