--- a/crates/dewhead/tests/fleet/mod.rs
+++ b/crates/dewhead/tests/fleet/mod.rs
@@ -86,6 +86,8 @@
     /// The highest that any cold server was sent in a window, as a part of rule 4's limit, and what it was then.
     pub highest: f64,
     pub at: (f64, usize, f64),
+    /// The highest as a part of the limit with its three roots and three where under 30 are allowed.
+    pub highest_of_rule: f64,
     /// What stands at the end at servers that the release started, and all calls that were turned away.
     pub on_new: usize,
     pub refused: usize,
@@ -376,7 +378,13 @@
     }
 
     fn outcome(self) -> Outcome {
-        let mut outcome = Outcome { highest: 0.0, at: (0.0, 0, 0.0), on_new: 0, refused: self.refused };
+        let mut outcome = Outcome {
+            highest: 0.0,
+            at: (0.0, 0, 0.0),
+            highest_of_rule: 0.0,
+            on_new: 0,
+            refused: self.refused,
+        };
         for node in self.nodes.values() {
             let Some(started) = node.listed.started else { continue };
             outcome.on_new += node.holds.len();
@@ -387,6 +395,11 @@
                 let present = SHARE + (1.0 - SHARE) * ((age + WINDOW / 2.0) / WARM).min(1.0);
                 let allowed = MULTIPLE * WINDOW * self.day.bears * node.listed.weight * present / WARM;
                 let part = sent as f64 / (allowed + 2.0 * allowed.sqrt() + 2.0);
+                let (roots, more) = if allowed < 30.0 { (3.0, 3.0) } else { (2.0, 2.0) };
+                let of_rule = sent as f64 / (allowed + roots * allowed.sqrt() + more);
+                if age < WARM {
+                    outcome.highest_of_rule = outcome.highest_of_rule.max(of_rule);
+                }
                 if age < WARM && part > outcome.highest {
                     (outcome.highest, outcome.at) = (part, (age, sent, allowed));
                 }
--- a/crates/dewhead/tests/release.rs
+++ b/crates/dewhead/tests/release.rs
@@ -73,6 +73,25 @@
     }
 }
 
+/// The same on six draws of each day, by the limit as it is stated: three roots and three where under 30 are allowed.
+#[test]
+fn large_cold_servers_are_kept_to_their_limit_on_every_day() {
+    for balancers in [2, 30] {
+        for (name, change) in DAYS {
+            for seed in 1..=6 {
+                let mut day =
+                    Day { bears: 200.0, servers: 20, agreed: Some(0.8), ..Day::of(balancers, seed) };
+                change(&mut day);
+                let highest = Fleet::play(day).highest_of_rule;
+                assert!(
+                    highest <= 1.0,
+                    "{balancers} balancers, {name}, draw {seed}: {highest:.2} of the limit"
+                );
+            }
+        }
+    }
+}
+
 /// Settings that say half as many balancers as there are, shops sold more than servers bear, or servers so full that
 /// twice what they hold is more than they bear: past the limit, and by how much.
 #[test]
