--- a/crates/dewhead-proxy/src/reducer/clients.rs
+++ b/crates/dewhead-proxy/src/reducer/clients.rs
@@ -181,6 +181,9 @@
             {
                 self.named.insert(id);
                 session.named = Some(id);
+                if let Some(group) = wanted.group {
+                    debug!("{}: is of group {group:x}", session.who());
+                }
                 session.wait = wait;
                 session.traffic = wanted.traffic;
                 let (id, until) = (session.id, wanted.until);
