--- a/crates/dewhead-world/src/front.rs
+++ b/crates/dewhead-world/src/front.rs
@@ -45,7 +45,7 @@
 impl World {
     /// Asks a proxy that has started whether it serves.
     pub(crate) fn front_pings(&mut self, now: f64, proxy: usize) {
-        if !self.proxies[proxy].up || self.proxies[proxy].stopping {
+        if !self.proxies[proxy].up || self.proxies[proxy].is_stopping() {
             return;
         }
         let latency = self.network.to_client();
@@ -91,7 +91,7 @@
     /// The front has noticed, unless the proxy serves again by now.
     pub(crate) fn front_drops(&mut self, proxy: usize, start: u64) {
         let one = &self.proxies[proxy];
-        if !one.up || one.starts == start && one.stopping {
+        if !one.up || one.starts == start && one.is_stopping() {
             self.front.drop_proxy(proxy);
         }
     }
--- a/crates/dewhead-world/src/serving.rs
+++ b/crates/dewhead-world/src/serving.rs
@@ -340,8 +340,7 @@
     pub(crate) fn signal(&mut self, now: f64, proxy: usize, signal: Signal) {
         let one = &mut self.proxies[proxy];
         match signal {
-            Signal::Stop | Signal::StopGroup if one.up && !one.stopping => {
-                one.stopping = true;
+            Signal::Stop | Signal::StopGroup if one.up && !one.is_stopping() => {
                 one.stopped_at = Some(now);
                 self.front_stops(now, proxy);
             }
--- a/crates/dewhead-world/src/world.rs
+++ b/crates/dewhead-world/src/world.rs
@@ -125,12 +125,18 @@
     pub up: bool,
     /// Processes started so far.
     pub starts: u64,
-    pub stopping: bool,
     /// When it was told to stop, while its processes have not started anew.
     pub stopped_at: Option<f64>,
     pub connections: u32,
 }
 
+impl Proxy {
+    /// Whether it has been told to stop, and has not started anew.
+    pub fn is_stopping(&self) -> bool {
+        self.stopped_at.is_some()
+    }
+}
+
 pub(crate) enum Due {
     Arrival,
     Client(ClientKey, u32),
@@ -213,14 +219,7 @@
         let node_names: Vec<String> =
             (0..nodes.len()).map(|_| format!("n-{:08x}", fleet.bits() as u32)).collect();
         let proxies: Vec<Proxy> = (0..of.fleet.proxies)
-            .map(|p| Proxy {
-                zone: p % zones,
-                up: false,
-                starts: 0,
-                stopping: false,
-                stopped_at: None,
-                connections: 0,
-            })
+            .map(|p| Proxy { zone: p % zones, up: false, starts: 0, stopped_at: None, connections: 0 })
             .collect();
         let service = Service::new(kinds, nodes.len(), proxies.len());
         let audit = Auditor::new(of, seed, &nodes, &node_names);
@@ -564,7 +563,6 @@
     pub fn ready(&mut self, now: f64, proxy: usize) {
         self.note(now, 8, proxy, &[]);
         self.proxies[proxy].up = true;
-        self.proxies[proxy].stopping = false;
         self.proxies[proxy].stopped_at = None;
         self.audit.proxy_up(now, proxy);
         self.service.mark(now, format!("proxy {proxy} listens"));
@@ -610,7 +608,7 @@
 
     /// A new process takes a running one's place.
     pub(crate) fn hand_over(&mut self, now: f64, proxy: usize) {
-        if self.proxies[proxy].up && !self.proxies[proxy].stopping {
+        if self.proxies[proxy].up && !self.proxies[proxy].is_stopping() {
             self.proxies[proxy].starts += 1;
             self.service.mark(now, format!("proxy {proxy} is handed over"));
             self.effects.push(Effect::Handover(proxy, self.of.proxy.leave_in));
