--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 8))'
-for file in common/standin.py [0-9]/case.py; do python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"; done
+for file in common/*.py [0-9]/case.py; do python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"; done
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -8,6 +8,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -57,10 +58,11 @@
 
 
 class Server:
-    """A sound server: answers `UP` with a receipt of its own, and each further line with a line at once."""
+    """A sound server: answers `UP` with a receipt of its own, and each further line with a line at once. While it
+    drains it turns new connections away with `BUSY`."""
 
-    def __init__(self, name, record, answer=None):
-        self.name, self.record, self.answer = name, record, answer
+    def __init__(self, name, record):
+        self.name, self.record = name, record
         self.sock = listening_socket()
         self.address = address_of(self.sock)
         self.opened = []  # (time, id) of each first line
@@ -79,11 +81,10 @@
                 return
             words = line.split()
             self.opened.append((now(), words[1]))
-            self.record(f"server {self.name} runs {line.strip()}")
-            answer = self.answer(self, words[1]) if self.answer else "BUSY" if self.draining else "UP"
-            if answer != "UP":
-                self.record(f"server {self.name} answers {words[1]} with {answer}")
-                writer.write(f"{answer}\r\n".encode())
+            self.record(f"server {self.name} gets {line.strip()}")
+            if self.draining:
+                self.record(f"server {self.name} drains and turns {words[1]} away")
+                writer.write(b"BUSY\r\n")
                 return
             writer.write(f"UP {self.name}.{len(self.opened)}\r\n".encode())
             while line := await reader.readline():
@@ -106,7 +107,6 @@
         self.changes = []  # (version, entry)
         self.watches = {}  # writer -> whether it has fallen silent
         self.refuse = 0  # so many further requests are refused with 503
-        self.delay = 0.0  # seconds by which everything that is written comes late
         self.requests = []  # times
 
     async def start(self):
@@ -134,18 +134,9 @@
         listed = [e for e in entries if not whole or e["health"] != "gone"]
         return json.dumps({"seq": self.seq, "whole": whole, "hosts": listed}, separators=(",", ":")) + "\n"
 
-    def write(self, writer, data):
-        def put():
-            if not writer.is_closing():
-                writer.write(data)
-
-        if self.delay > 0:
-            asyncio.get_running_loop().call_later(self.delay, put)
-        else:
-            put()
-
     def line(self, writer, text):
-        self.write(writer, b"%x\r\n%s\r\n" % (len(text), text.encode()))
+        if not writer.is_closing():
+            writer.write(b"%x\r\n%s\r\n" % (len(text), text.encode()))
 
     async def serve(self, reader, writer):
         try:
@@ -155,14 +146,13 @@
             if self.refuse > 0:
                 self.refuse -= 1
                 self.record(f"{self.name} refuses {target} with 503")
-                self.write(writer, b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-                await asyncio.sleep(self.delay + 0.05)
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
                 return
             self.record(f"{self.name} is asked {target}")
             query = dict(p.split("=") for p in target.partition("?")[2].split("&") if "=" in p)
             since = int(query.get("since", 0))
-            self.write(writer, b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                               b"Transfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                         b"Transfer-Encoding: chunked\r\n\r\n")
             first = self.changes[0][0] if self.changes else self.seq
             if first <= since <= self.seq:
                 changed = {e["host"]: e for version, e in self.changes if version > since}
@@ -285,12 +275,11 @@
 
 
 class Client:
-    """A client: opens a connection, sends a line every 2 s while it lasts, and comes again after `MOVE` if asked to."""
+    """A client: opens a connection and sends a line every 2 s while it lasts."""
 
-    def __init__(self, proxy, record, traffic="menu-feed", tenant="kodukokk", wait_ms=3000, extra="", on_open=None):
+    def __init__(self, proxy, record, traffic="menu-feed", tenant="kodukokk", wait_ms=3000):
         self.proxy, self.record = proxy, record
-        self.traffic, self.tenant, self.wait_ms, self.extra = traffic, tenant, wait_ms, extra
-        self.on_open = on_open
+        self.traffic, self.tenant, self.wait_ms = traffic, tenant, wait_ms
         self.id = "%016x" % random.getrandbits(64)
         self.answer = None  # the final answer, `closed` or `none`
         self.ended = None  # how an established connection ended
@@ -300,7 +289,7 @@
     async def open(self):
         """Sends the first line and waits for its answer."""
         line = (f"OPEN {self.id} {random.getrandbits(64):016x} "
-                f"c={self.traffic},t={self.tenant},d={self.wait_ms}{self.extra}\r\n")
+                f"c={self.traffic},t={self.tenant},d={self.wait_ms}\r\n")
         try:
             self.reader, self.writer = await self.proxy.connect()
         except OSError:
@@ -355,10 +344,9 @@
     here = os.path.dirname(os.path.abspath(script))
     record = Record(os.path.join(here, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    if os.path.exists("/proc/self/limits"):
-        import resource
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 65536), hard))
+    # The proxies inherit the limit; their own is in the configuration.
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 65536) if hard > 0 else 65536, hard))
     code = 2
     with tempfile.TemporaryDirectory() as folder:
         try:
