--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import standin as s
 
-PROXIES, SERVERS, DRAINING, RATE = 3, 12, 6, 40.0
+PROXIES, SERVERS, DRAINING, RATE = 4, 12, 7, 50.0
 TOLD_AFTER = 6.0  # a silent watch: told at the latest 6 s after it fell silent
 GRACE = 0.5 + 0.05  # the settings' grace, and the 50 ms that each limit is longer on sockets
 
@@ -46,7 +46,7 @@
         leaving = servers[:DRAINING]
         told_at = {}
         for server in leaving:
-            await asyncio.sleep(0.4 if told_at else 0.1)
+            await asyncio.sleep(0.35 if told_at else 0.1)
             discovery.set(s.entry(server, "draining"))
             server.draining = True
             told_at[server] = silent_at + TOLD_AFTER if trouble else s.now()
