End what a review script started when the script is told to stop

Cause: SIGTERM ended a script at once and left its proxies running, two or three of them, and eight processes of stand-ins in case 1. A record that can't be written would have ended a script with 1, which means that the rule was broken. Added: SIGTERM ends a script by way of its clean-up, with 2, as does any error before its play.

--- a/review/common/crowd.py
+++ b/review/common/crowd.py
@@ -7,6 +7,7 @@
 import gc
 import multiprocessing
 import random
+import signal
 import time
 
 CONTEXT = multiprocessing.get_context("fork")
@@ -124,7 +125,12 @@
     asyncio.run(main())
 
 
+def run(target, arguments):
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+    target(*arguments)
+
+
 def start(target, *arguments):
-    process = CONTEXT.Process(target=target, args=arguments, daemon=True)
+    process = CONTEXT.Process(target=run, args=(target, arguments), daemon=True)
     process.start()
     return process
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -341,30 +341,24 @@
     """Runs a case and exits with its verdict: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
     `main(record, folder, trouble)` is a coroutine that returns a list of breaks."""
-    here = os.path.dirname(os.path.abspath(script))
-    record = Record(os.path.join(here, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    # The proxies inherit the limit; their own is in the configuration.
-    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 65536) if hard > 0 else 65536, hard))
     code = 2
-    with tempfile.TemporaryDirectory() as folder:
-        try:
+    try:
+        # A script that is told to stop still ends what it has started.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+        record = Record(os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt"))
+        # The proxies inherit the limit; their own is in the configuration.
+        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 65536) if hard > 0 else 65536, hard))
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        with tempfile.TemporaryDirectory() as folder:
             breaks = asyncio.run(asyncio.wait_for(main(record, folder, trouble), 110))
-            code = 1 if breaks else 0
-            for text in breaks:
-                record("BROKEN: " + text)
-            verdict = f"the rule was broken {len(breaks)} times" if breaks else "the rule held"
-            record(verdict)
-            print(verdict)
-            for text in breaks[:5]:
-                print("  " + text)
-        except BaseException as error:  # the verdict is 2 whatever went wrong in the stand-ins
-            record(f"the case could not run: {error!r}")
-            print(f"the case could not run: {error!r}", file=sys.stderr)
-            if os.environ.get("DEBUG"):
-                import traceback
-                traceback.print_exc()
+        verdict = f"the rule was broken {len(breaks)} times" if breaks else "the rule held"
+        for text in ["BROKEN: " + text for text in breaks] + [verdict]:
+            record(text)
+        code = 1 if breaks else 0
+        print("\n  ".join([verdict] + breaks[:5]), flush=True)
+    except BaseException as error:  # whatever went wrong in the stand-ins, the case could not run
+        print(f"the case could not run: {error!r}", file=sys.stderr)
     sys.exit(code)
 
 
