Type the failures of a watch, and apply lists in a module of their own

Cause: a failure of the watch was a text, and whether discovery is overloaded was found by comparing texts. reducer/watch.rs held the watch and the application of its lists, with two functions of over fifty lines. Change: `ResponseError` and `WatchFailure` in place of texts; `reducer/server_list.rs` applies lists; the long functions are split. The log's texts stay. The log lines of a list's entries have another module as their target, which the tests' filter names now: without it `clock.rs` waits for a line that never comes.

--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -1,12 +1,13 @@
 //! The proxy's state machine: applies one event at a time and returns the effects to carry out. It performs no I/O and
 //! reads no clock. It owns the balancer, whose requests arrive through `balancer_requests`; discovery is followed in
-//! `watch`.
+//! `watch`, and its lists are applied in `server_list`.
 
 mod balancer_requests;
 mod clients;
 mod established;
 mod handover;
 mod legs;
+mod server_list;
 mod shutdown;
 mod status;
 mod watch;
@@ -19,6 +20,7 @@
 use crate::state::set_up_latency::TypeMeans;
 use crate::state::start_times::WallClock;
 use crate::state::timers::{Timer, Timers};
+use crate::state::watch_failure::WatchFailure;
 use crate::wire::answers;
 use crate::wire::http::WatchResponse;
 use crate::wire::server_list::ListVersion;
@@ -533,7 +535,7 @@
                 if std::mem::take(&mut self.watch.retry_pending) {
                     self.open_watch(now);
                 } else {
-                    self.abort_watch(now, "no complete line received in time");
+                    self.abort_watch(now, WatchFailure::LineOverdue);
                 }
             }
             TimerKind::FreeDescriptors => {
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -1,14 +1,12 @@
-//! The watch on discovery: requests it, reads its lines, and applies the versions of the server list that they hold.
+//! The watch on discovery: requests it, reads its lines, and requests it again when it has failed.
 
 use super::{Effect, Reducer, TimerKind};
 use crate::state::handover_state::RawEntries;
-use crate::state::sessions::{LegStage, ServerLeg, Session, SessionStage};
 use crate::state::timers::Timer;
-use crate::wire::http::{WatchResponse, LINE_TOO_LONG, STATUS_NOT_OK};
+use crate::state::watch_failure::WatchFailure;
+use crate::wire::http::WatchResponse;
 use crate::wire::server_list::ListVersion;
-use dewhead::types::{LegOutcome, ListUpdate, ServerState};
-use dewhead_startup::fields::ParseResult;
-use log::{debug, warn};
+use log::warn;
 use std::net::SocketAddr;
 
 /// Discovery writes at least every two seconds; a watch that delivers no line for this many seconds is treated as lost.
@@ -118,156 +116,67 @@
             }
         });
         self.watch.response = Some(response);
-        // Only complete lines show that the watch works: a line that arrived in pieces and never ended kept a failed
-        // watch open for ever.
-        if line_completed {
-            self.watch.line_received = true;
-            self.set_watch_deadline(now + WATCH_SILENCE_TIMEOUT_SECONDS);
-        } else if !self.watch.line_received {
-            self.watch.progress_bytes += bytes.len();
-            if self.watch.progress_bytes >= MIN_PROGRESS_BYTES {
-                self.watch.progress_bytes = 0;
-                let periods = self.watch.failed_attempts.clamp(1, MAX_FIRST_LINE_PERIODS);
-                let latest = self.watch.requested_at + WATCH_SILENCE_TIMEOUT_SECONDS * f64::from(periods);
-                self.set_watch_deadline(latest.min(now + WATCH_SILENCE_TIMEOUT_SECONDS));
-            }
-        }
+        self.extend_watch_deadline(now, line_completed, bytes.len());
         for line in lines {
-            match ListVersion::parse(&line, &self.names.zones) {
-                Some(version) => {
-                    if !self.apply_list(now, version, false) {
-                        return self.abort_watch(now, "invalid list");
-                    }
-                }
-                None => return self.abort_watch(now, "a line is not JSON"),
+            if let Err(failure) = self.apply_line(now, &line) {
+                return self.abort_watch(now, failure);
             }
         }
         match outcome {
             Ok(true) => {}
-            Ok(false) => self.abort_watch(now, "the response ended"),
-            Err(fault) => self.abort_watch(now, fault),
+            Ok(false) => self.abort_watch(now, WatchFailure::ResponseEnded),
+            Err(error) => self.abort_watch(now, WatchFailure::InvalidResponse(error)),
         }
     }
 
-    /// Applies a version of the list. Returns false where it is invalid; the current list is then kept.
-    pub(super) fn apply_list(&mut self, now: f64, parsed: ParseResult<ListVersion>, cached: bool) -> bool {
-        let mut update = match parsed {
-            Ok(list) => list,
-            Err(fault) => {
-                if self.watch.failed_attempts == 0 {
-                    warn!("discovery: {fault}");
-                }
-                return false;
-            }
-        };
-        let (version, whole) = (update.number, update.whole);
-        let reported_starts = self.convert_start_times(now, &mut update);
-        // An older version that names no server yet is ignored, too, even if it is a full list.
-        if version < self.watch.version && (!whole || update.entries.is_empty()) {
-            warn!("discovery: ignoring version {version}, older than the current {}", self.watch.version);
-            return true;
-        }
-        if version < self.watch.version {
-            // A restarted discovery counts from one again. When its list was ignored until it had counted past the old
-            // version, servers that it drained meanwhile were still sent calls. A discovery whose list is merely
-            // outdated makes no server ready again: a draining one stays so until its process restarts or a change
-            // names it.
-            warn!("discovery: version {version} after {}: its counter was reset", self.watch.version);
-            for (listed, _) in &mut update.entries {
-                let record = self.servers.0.get(&listed.id);
-                if record.is_some_and(|r| r.state == ServerState::Draining && r.started == listed.started) {
-                    listed.state = ServerState::Draining;
-                }
-            }
-        }
-        self.watch.version = version;
-        (self.watch.failed_attempts, self.watch.overloaded) = (0, false);
-        self.watch.entries.apply(whole || cached, &mut update);
-        for (listed, _) in &update.entries {
-            let age = listed.started.map_or(f64::INFINITY, |started| now - started);
-            debug!(
-                "server {:x} is {:?} in zone {}, of weight {}, started {age:.1} s ago",
-                listed.id, listed.state, listed.zone, listed.weight
-            );
-        }
-        let gone = self.servers.apply(whole || cached, &update.entries);
-        for ((listed, _), reported_start) in update.entries.iter().zip(reported_starts) {
-            if let Some(server) = self.servers.0.get_mut(&listed.id) {
-                server.started_by_wall_clock = reported_start;
-            }
-        }
-        let list_kind = match () {
-            () if cached => ListUpdate::Cached,
-            () if whole => ListUpdate::Full,
-            () => ListUpdate::Delta,
-        };
-        let listed: Vec<_> = update.entries.into_iter().map(|(listed, _)| listed).collect();
-        self.balancer.on_list_update(now, list_kind, &listed);
-        if !cached {
-            self.confirm_list(now);
+    /// Sets the next deadline after this many bytes of the watch.
+    ///
+    /// Only complete lines show that the watch works: a line that arrived in pieces and never ended kept a failed watch
+    /// open for ever.
+    fn extend_watch_deadline(&mut self, now: f64, line_completed: bool, byte_count: usize) {
+        if line_completed {
+            self.watch.line_received = true;
+            return self.set_watch_deadline(now + WATCH_SILENCE_TIMEOUT_SECONDS);
         }
-        if !gone.is_empty() {
-            // Clients that are established at a server that is gone are moved. The list changes so rarely that all legs
-            // can be searched.
-            let at_gone_server = |l: &ServerLeg| l.stage == LegStage::Established && gone.contains(&l.server);
-            let keys: Vec<usize> =
-                self.legs.iter().filter(|(_, l)| at_gone_server(l)).map(|(_, l)| l.session).collect();
-            keys.into_iter().for_each(|key| self.move_client(now, key, LegOutcome::Broken));
+        if self.watch.line_received {
+            return;
         }
-        true
-    }
-
-    /// Converts the start times of the entries from the wall clock, by which discovery reports them, to the process's
-    /// own clock, and returns them as they were reported. A start that was reported before keeps its earlier
-    /// conversion.
-    fn convert_start_times(&self, now: f64, update: &mut ListVersion) -> Vec<Option<f64>> {
-        let mut reported_starts = Vec::with_capacity(update.entries.len());
-        for (listed, _) in &mut update.entries {
-            reported_starts.push(listed.started);
-            let record = self
-                .servers
-                .0
-                .get(&listed.id)
-                .filter(|record| record.started_by_wall_clock == listed.started);
-            listed.started = match record {
-                Some(record) => record.started,
-                None => listed.started.map(|reported| self.wall_clock.to_process_clock(now, reported)),
-            };
+        self.watch.progress_bytes += byte_count;
+        if self.watch.progress_bytes >= MIN_PROGRESS_BYTES {
+            self.watch.progress_bytes = 0;
+            let periods = self.watch.failed_attempts.clamp(1, MAX_FIRST_LINE_PERIODS);
+            let latest = self.watch.requested_at + WATCH_SILENCE_TIMEOUT_SECONDS * f64::from(periods);
+            self.set_watch_deadline(latest.min(now + WATCH_SILENCE_TIMEOUT_SECONDS));
         }
-        reported_starts
     }
 
-    /// Takes the current list as confirmed, and processes the first lines that arrived before that.
-    pub(super) fn confirm_list(&mut self, now: f64) {
-        if std::mem::take(&mut self.list_unconfirmed) {
-            let has_begun_first_line =
-                |s: &Session| s.stage == SessionStage::AwaitingFirstLine && !s.first_line.is_empty();
-            let keys: Vec<usize> =
-                self.sessions.iter().filter(|(_, s)| has_begun_first_line(s)).map(|(key, _)| key).collect();
-            keys.into_iter().for_each(|key| self.process_first_line(now, key));
+    /// Applies a line that holds a version of the list.
+    fn apply_line(&mut self, now: f64, line: &[u8]) -> Result<(), WatchFailure> {
+        let version = ListVersion::parse(line, &self.names.zones).ok_or(WatchFailure::InvalidJson)?;
+        if self.apply_list(now, version, false) {
+            Ok(())
+        } else {
+            Err(WatchFailure::InvalidList)
         }
     }
 
-    /// Closes the watch because of a fault, and schedules the next request.
-    pub(super) fn abort_watch(&mut self, now: f64, fault: &str) {
+    /// Closes the watch because of a failure, and schedules the next request.
+    pub(super) fn abort_watch(&mut self, now: f64, failure: WatchFailure) {
         if self.watch.failed_attempts == 0 {
-            warn!("discovery: the watch is closed: {fault}");
+            warn!("discovery: the watch is closed: {failure}");
         }
-        // A list that is too long will be too long again: with short pauses, discovery would write it over and over.
-        self.watch.overloaded = matches!(fault, STATUS_NOT_OK | LINE_TOO_LONG);
         self.effects.push(Effect::CloseWatch);
-        self.schedule_watch_retry(now);
+        self.schedule_watch_retry(now, failure);
     }
 
-    /// Schedules the next request after the connection ended or was not established, which is no sign of overload at
-    /// discovery.
+    /// Schedules the next request after the connection ended or was not established.
     pub(super) fn handle_watch_lost(&mut self, now: f64) {
-        self.watch.overloaded = false;
-        self.schedule_watch_retry(now);
+        self.schedule_watch_retry(now, WatchFailure::ConnectionLost);
     }
 
     /// Counts a failed attempt and sets the timer for the next request.
-    fn schedule_watch_retry(&mut self, now: f64) {
+    fn schedule_watch_retry(&mut self, now: f64, failure: WatchFailure) {
+        self.watch.overloaded = failure.is_overload();
         self.watch.response = None;
         let failed_attempts = self.watch.failed_attempts;
         self.watch.failed_attempts = failed_attempts.saturating_add(1);
--- a/crates/dewhead-proxy/src/state/mod.rs
+++ b/crates/dewhead-proxy/src/state/mod.rs
@@ -1,5 +1,5 @@
-//! The state that a proxy keeps: sessions and legs, sockets with their write buffers, servers, timers, counters and
-//! what is handed over to a successor.
+//! The state that a proxy keeps: sessions and legs, sockets with their write buffers, servers, timers, counters,
+//! failures of the watch, and what is handed over to a successor.
 
 pub mod buffered_socket;
 pub mod counters;
@@ -9,3 +9,4 @@
 pub mod set_up_latency;
 pub mod start_times;
 pub mod timers;
+pub mod watch_failure;
--- a/crates/dewhead-proxy/src/wire/http.rs
+++ b/crates/dewhead-proxy/src/wire/http.rs
@@ -1,5 +1,7 @@
 //! The watch on discovery: a long-lived HTTP response with one JSON object per line. Its chunks may be split anywhere.
 
+use std::fmt;
+
 /// The longest line of a watch; a longer one is an error. An entry takes about 140 bytes in the line and about a
 /// kilobyte once parsed, and the smallest proxy has 32 MB: a line has room for as many servers as a proxy can hold, and
 /// the proxy has room for the line.
@@ -15,10 +17,38 @@
     .into_bytes()
 }
 
-/// The error for a line over `MAX_LINE_BYTES`.
-pub const LINE_TOO_LONG: &str = "a line is longer than 4 MiB; the list held is kept";
-/// The error for a response with a status other than 200.
-pub const STATUS_NOT_OK: &str = "the HTTP status is not 200";
+/// What is wrong with the response of a watch.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ResponseError {
+    /// The head is no HTTP response head.
+    InvalidHead,
+    /// The head is longer than `MAX_HEAD_BYTES`.
+    HeadTooLong,
+    /// The status is not 200: discovery refuses the request.
+    StatusNotOk,
+    /// A chunk does not begin with its size.
+    InvalidChunkSize,
+    /// A chunk's size is larger than memory can be.
+    ChunkTooLong,
+    /// A chunk holds more bytes than its size says.
+    ChunkOverrun,
+    /// A line is longer than `MAX_LINE_BYTES`.
+    LineTooLong,
+}
+
+impl fmt::Display for ResponseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ResponseError::InvalidHead => "the response head is not valid HTTP",
+            ResponseError::HeadTooLong => "the response head is too long",
+            ResponseError::StatusNotOk => "the HTTP status is not 200",
+            ResponseError::InvalidChunkSize => "a chunk has no valid size",
+            ResponseError::ChunkTooLong => "a chunk is too long",
+            ResponseError::ChunkOverrun => "a chunk is longer than its size",
+            ResponseError::LineTooLong => "a line is longer than 4 MiB; the list held is kept",
+        })
+    }
+}
 
 /// The part of the response that is expected next.
 enum Expected {
@@ -55,8 +85,8 @@
     ///
     /// # Errors
     ///
-    /// What is wrong with the response, for the log.
-    pub fn feed(&mut self, bytes: &[u8], mut on_line: impl FnMut(&[u8])) -> Result<bool, &'static str> {
+    /// What is wrong with the response.
+    pub fn feed(&mut self, bytes: &[u8], mut on_line: impl FnMut(&[u8])) -> Result<bool, ResponseError> {
         self.raw.extend_from_slice(bytes);
         let raw = std::mem::take(&mut self.raw);
         let mut rest = &raw[..];
@@ -67,18 +97,19 @@
                         rest = &rest[length..];
                         self.expected = if chunked { Expected::ChunkSize } else { Expected::Plain };
                     }
-                    None if rest.len() > MAX_HEAD_BYTES => return Err("the response head is too long"),
+                    None if rest.len() > MAX_HEAD_BYTES => return Err(ResponseError::HeadTooLong),
                     None => break true,
                 },
                 Expected::ChunkSize => match httparse::parse_chunk_size(rest) {
                     Ok(httparse::Status::Complete((_, 0))) => break false,
                     Ok(httparse::Status::Complete((used, size))) => {
                         rest = &rest[used..];
-                        self.expected =
-                            Expected::ChunkData(usize::try_from(size).map_err(|_| "a chunk is too long")?);
+                        self.expected = Expected::ChunkData(
+                            usize::try_from(size).map_err(|_| ResponseError::ChunkTooLong)?,
+                        );
                     }
                     Ok(httparse::Status::Partial) if rest.len() < 64 => break true,
-                    _ => return Err("a chunk has no valid size"),
+                    _ => return Err(ResponseError::InvalidChunkSize),
                 },
                 Expected::ChunkData(left) => {
                     let piece = &rest[..left.min(rest.len())];
@@ -93,7 +124,7 @@
                 Expected::ChunkEnd(left) => {
                     let piece = &rest[..left.min(rest.len())];
                     if piece.iter().any(|b| !b"\r\n".contains(b)) {
-                        return Err("a chunk is longer than its size");
+                        return Err(ResponseError::ChunkOverrun);
                     }
                     rest = &rest[piece.len()..];
                     if piece.len() < left {
@@ -114,10 +145,10 @@
     }
 
     /// Takes decoded bytes and calls `on_line` for each complete line.
-    fn lines(&mut self, bytes: &[u8], on_line: &mut impl FnMut(&[u8])) -> Result<(), &'static str> {
+    fn lines(&mut self, bytes: &[u8], on_line: &mut impl FnMut(&[u8])) -> Result<(), ResponseError> {
         for piece in bytes.split_inclusive(|b| *b == b'\n') {
             if self.line.len() + piece.len() > MAX_LINE_BYTES {
-                return Err(LINE_TOO_LONG);
+                return Err(ResponseError::LineTooLong);
             }
             self.line.extend_from_slice(piece);
             if piece.ends_with(b"\n") {
@@ -130,13 +161,13 @@
 }
 
 /// The length of the response head, and whether the body is chunked; `None` while the head is incomplete.
-fn parse_head(bytes: &[u8]) -> Result<Option<(usize, bool)>, &'static str> {
+fn parse_head(bytes: &[u8]) -> Result<Option<(usize, bool)>, ResponseError> {
     let mut fields = [httparse::EMPTY_HEADER; 32];
     let mut response = httparse::Response::new(&mut fields);
     match response.parse(bytes) {
         Ok(httparse::Status::Complete(length)) => {
             if response.code != Some(200) {
-                return Err(STATUS_NOT_OK);
+                return Err(ResponseError::StatusNotOk);
             }
             let chunked = response.headers.iter().any(|h| {
                 h.name.eq_ignore_ascii_case("transfer-encoding")
@@ -145,6 +176,6 @@
             Ok(Some((length, chunked)))
         }
         Ok(httparse::Status::Partial) => Ok(None),
-        Err(_) => Err("the response head is not valid HTTP"),
+        Err(_) => Err(ResponseError::InvalidHead),
     }
 }
--- a/crates/dewhead-proxy/tests/common/loopback.rs
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -88,7 +88,10 @@
             std::fs::write(&config_path, configuration.to_string()).unwrap();
             let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
             command.args(["serve", "--config"]).arg(&config_path);
-            command.env("RUST_LOG", "info,dewhead_proxy::reducer::watch=debug");
+            command.env(
+                "RUST_LOG",
+                "info,dewhead_proxy::reducer::watch=debug,dewhead_proxy::reducer::server_list=debug",
+            );
             command.envs(environment.iter().map(|(name, value)| (name, value)));
             let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
             let log = BufReader::new(child.stderr.take().unwrap());
