Log each failed request to discovery with its next time, and count them by reason

Change: one debug line a failure, with the age of the request, the age of the last complete line and the time to the next request; `watch_requests` and `watch_failures` in the counters of `ctl status`. No decision changed.

--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -6,7 +6,7 @@
 use crate::state::watch_failure::WatchFailure;
 use crate::wire::http::WatchResponse;
 use crate::wire::server_list::ListVersion;
-use log::warn;
+use log::{debug, warn};
 use std::net::SocketAddr;
 
 /// Discovery writes at least every two seconds; a watch that delivers no line for this many seconds is treated as lost.
@@ -41,6 +41,8 @@
     requested_at: f64,
     /// Whether a complete line has arrived since then.
     line_received: bool,
+    /// When the last complete line arrived from this discovery.
+    last_line_at: Option<f64>,
     /// Bytes of the first line since its deadline was last extended.
     progress_bytes: usize,
     /// The version of the current list.
@@ -65,6 +67,7 @@
             response: None,
             requested_at: f64::NEG_INFINITY,
             line_received: false,
+            last_line_at: None,
             progress_bytes: 0,
             version: 0,
             entries: RawEntries::default(),
@@ -81,6 +84,7 @@
     pub(super) fn open_watch(&mut self, now: f64) {
         if self.watch.response.is_none() {
             self.watch.retry_pending = false;
+            self.counters.watch_requests += 1;
             (self.watch.requested_at, self.watch.line_received, self.watch.progress_bytes) = (now, false, 0);
             self.effects.push(Effect::OpenWatch(self.watch.discovery, self.watch.version));
             self.set_watch_deadline(now + WATCH_OPEN_TIMEOUT_SECONDS);
@@ -136,6 +140,7 @@
     fn extend_watch_deadline(&mut self, now: f64, line_completed: bool, byte_count: usize) {
         if line_completed {
             self.watch.line_received = true;
+            self.watch.last_line_at = Some(now);
             return self.set_watch_deadline(now + WATCH_SILENCE_TIMEOUT_SECONDS);
         }
         if self.watch.line_received {
@@ -177,6 +182,7 @@
     /// Counts a failed attempt and sets the timer for the next request.
     fn schedule_watch_retry(&mut self, now: f64, failure: WatchFailure) {
         self.watch.overloaded = failure.is_overload();
+        self.counters.watch_failures.count(failure.name());
         self.watch.response = None;
         let failed_attempts = self.watch.failed_attempts;
         self.watch.failed_attempts = failed_attempts.saturating_add(1);
@@ -196,6 +202,12 @@
                 * (0.5 + draw)
         };
         let at = (self.watch.requested_at + pause).max(now);
+        debug!(
+            "discovery: {failure}; requested {:.3} s ago, last complete line {:.3} s ago, next request in {:.3} s",
+            now - self.watch.requested_at,
+            self.watch.last_line_at.map_or(f64::INFINITY, |line_at| now - line_at),
+            at - now
+        );
         self.watch.retry_pending = true;
         self.watch.timer = Some(self.timers.set(at, TimerKind::Watch));
     }
--- a/crates/dewhead-proxy/src/state/counters.rs
+++ b/crates/dewhead-proxy/src/state/counters.rs
@@ -123,12 +123,17 @@
     pub answers: CountsByName,
     /// Closed client connections, by `CloseReason`.
     pub closes: CountsByName,
+    /// Requests for the watch.
+    pub watch_requests: u64,
+    /// Failed watches and failed requests for one, by `WatchFailure`.
+    pub watch_failures: CountsByName,
 }
 
 impl Counters {
     /// All counts as the control socket reports them.
     pub fn to_json(&self) -> Value {
         json!({"attempts": self.attempts, "retries": self.retries, "endings": self.endings.to_json(),
-               "refusals": self.refusals.to_json(), "answers": self.answers.to_json(), "closes": self.closes.to_json()})
+               "refusals": self.refusals.to_json(), "answers": self.answers.to_json(), "closes": self.closes.to_json(),
+               "watch_requests": self.watch_requests, "watch_failures": self.watch_failures.to_json()})
     }
 }
--- a/crates/dewhead-proxy/src/state/watch_failure.rs
+++ b/crates/dewhead-proxy/src/state/watch_failure.rs
@@ -21,6 +21,20 @@
 }
 
 impl WatchFailure {
+    /// The name in counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            WatchFailure::ConnectionLost => "connection_lost",
+            WatchFailure::LineOverdue => "line_overdue",
+            WatchFailure::ResponseEnded => "response_ended",
+            WatchFailure::InvalidResponse(ResponseError::StatusNotOk) => "status_not_200",
+            WatchFailure::InvalidResponse(ResponseError::LineTooLong) => "line_too_long",
+            WatchFailure::InvalidResponse(_) => "invalid_response",
+            WatchFailure::InvalidJson => "invalid_json",
+            WatchFailure::InvalidList => "invalid_list",
+        }
+    }
+
     /// Whether discovery is to be asked rarely after this: it is overloaded, or would write a long list over and over.
     pub fn is_overload(self) -> bool {
         matches!(self, WatchFailure::InvalidResponse(ResponseError::StatusNotOk | ResponseError::LineTooLong))
