Ask a refusing discovery again in time for what a silent watch has missed

Cause: a refused request was repeated 5 to 5.6 s after it was made, although a change may be as old as the last line: 2.6 s older after a silent watch. The same for too long a list, and after any end of a young watch. Ruled out: a silence that is found late, a list that is applied late. Change: `state/request_schedule.rs` keeps when missed changes count as known, and repeats such a request 0.4 to 1.0 s before that, once; after that in intervals of 5 to 5.6 s as before. Tests, which failed before with 7.6 to 8.2 s and 7.75 s: every end of a watch with every fault of the next request, and a silent watch with a refused request on real connections. Two more hold the interval after that, and that a fleet whose watches fall silent at once gets its lists.

--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -283,7 +283,7 @@
             wall_clock: WallClock::default(),
             timers: Timers::default(),
             last_serial: 0,
-            watch: Watch::new(discovery),
+            watch: Watch::new(now, discovery),
             draining_since: None,
             drain_spread: 0.0,
             exits_when_empty: false,
--- a/crates/dewhead-proxy/src/reducer/server_list.rs
+++ b/crates/dewhead-proxy/src/reducer/server_list.rs
@@ -13,7 +13,7 @@
         let mut update = match parsed {
             Ok(list) => list,
             Err(fault) => {
-                if self.watch.failed_attempts == 0 {
+                if self.watch.schedule.failed_attempts() == 0 {
                     warn!("discovery: {fault}");
                 }
                 return false;
@@ -31,7 +31,7 @@
             self.keep_drains(&mut update.entries);
         }
         self.watch.version = version;
-        (self.watch.failed_attempts, self.watch.overloaded) = (0, false);
+        self.watch.schedule.record_list();
         self.watch.entries.apply(whole || cached, &mut update);
         log_entries(now, &update.entries);
         let gone = self.servers.apply(whole || cached, &update.entries);
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -2,6 +2,7 @@
 
 use super::{Effect, Reducer, TimerKind};
 use crate::state::handover_state::RawEntries;
+use crate::state::request_schedule::RequestSchedule;
 use crate::state::timers::Timer;
 use crate::state::watch_failure::WatchFailure;
 use crate::wire::http::WatchResponse;
@@ -21,38 +22,22 @@
 /// Bytes of an incomplete first line that must arrive in each `WATCH_SILENCE_TIMEOUT_SECONDS`; with fewer, discovery is
 /// assumed to have stopped writing.
 const MIN_PROGRESS_BYTES: usize = 4096;
-/// Shortest and longest interval between two requests for the watch, in seconds, both varied at random. A watch that
-/// was open, or silent, for longer than the interval is requested again at once, as a drain may have been announced
-/// meanwhile.
-const WATCH_RETRY_PAUSE_SECONDS: (f64, f64) = (0.1, 0.8);
-/// Shortest and longest interval between two requests, in seconds, where discovery refuses them because it is
-/// overloaded. When a hundred proxies repeated the request every second, discovery answered none of them for the rest
-/// of the day. From the first refusal on, requests are therefore as rare as the six seconds allow in which a change
-/// must be in use.
-const OVERLOAD_RETRY_PERIOD_SECONDS: (f64, f64) = (5.0, 5.6);
-
 /// The state of the watch on discovery.
 pub struct Watch {
     /// The address of discovery.
     pub discovery: SocketAddr,
     /// The response being read; none while no connection is open.
     pub response: Option<WatchResponse>,
-    /// When the watch was last requested.
-    requested_at: f64,
-    /// Whether a complete line has arrived since then.
+    /// When discovery is asked again after a failure.
+    pub schedule: RequestSchedule,
+    /// Whether a complete line has arrived since the last request.
     line_received: bool,
-    /// When the last complete line arrived from this discovery.
-    last_line_at: Option<f64>,
     /// Bytes of the first line since its deadline was last extended.
     progress_bytes: usize,
     /// The version of the current list.
     pub version: u64,
     /// The entries of the current list as discovery wrote them.
     pub entries: RawEntries,
-    /// Failed attempts since the last list.
-    pub failed_attempts: u32,
-    /// Whether discovery refused the last request, or its list was too long.
-    pub overloaded: bool,
     /// Whether the timer ends a pause before the next request; otherwise it limits the wait for a complete line.
     pub retry_pending: bool,
     /// The timer that `retry_pending` describes.
@@ -61,18 +46,15 @@
 
 impl Watch {
     /// A watch that has not been requested yet.
-    pub fn new(discovery: SocketAddr) -> Watch {
+    pub fn new(now: f64, discovery: SocketAddr) -> Watch {
         Watch {
             discovery,
             response: None,
-            requested_at: f64::NEG_INFINITY,
+            schedule: RequestSchedule::new(now),
             line_received: false,
-            last_line_at: None,
             progress_bytes: 0,
             version: 0,
             entries: RawEntries::default(),
-            failed_attempts: 0,
-            overloaded: false,
             retry_pending: false,
             timer: None,
         }
@@ -85,7 +67,8 @@
         if self.watch.response.is_none() {
             self.watch.retry_pending = false;
             self.counters.watch_requests += 1;
-            (self.watch.requested_at, self.watch.line_received, self.watch.progress_bytes) = (now, false, 0);
+            self.watch.schedule.record_request(now);
+            (self.watch.line_received, self.watch.progress_bytes) = (false, 0);
             self.effects.push(Effect::OpenWatch(self.watch.discovery, self.watch.version));
             self.set_watch_deadline(now + WATCH_OPEN_TIMEOUT_SECONDS);
         }
@@ -97,7 +80,7 @@
     pub(super) fn switch_discovery(&mut self, now: f64, discovery: SocketAddr) {
         let timer = self.watch.timer.take();
         let entries = std::mem::take(&mut self.watch.entries);
-        self.watch = Watch { timer, entries, ..Watch::new(discovery) };
+        self.watch = Watch { timer, entries, ..Watch::new(now, discovery) };
         self.open_watch(now);
     }
 
@@ -126,6 +109,9 @@
                 return self.abort_watch(now, failure);
             }
         }
+        if line_completed {
+            self.watch.schedule.record_line(now);
+        }
         match outcome {
             Ok(true) => {}
             Ok(false) => self.abort_watch(now, WatchFailure::ResponseEnded),
@@ -140,7 +126,6 @@
     fn extend_watch_deadline(&mut self, now: f64, line_completed: bool, byte_count: usize) {
         if line_completed {
             self.watch.line_received = true;
-            self.watch.last_line_at = Some(now);
             return self.set_watch_deadline(now + WATCH_SILENCE_TIMEOUT_SECONDS);
         }
         if self.watch.line_received {
@@ -149,8 +134,9 @@
         self.watch.progress_bytes += byte_count;
         if self.watch.progress_bytes >= MIN_PROGRESS_BYTES {
             self.watch.progress_bytes = 0;
-            let periods = self.watch.failed_attempts.clamp(1, MAX_FIRST_LINE_PERIODS);
-            let latest = self.watch.requested_at + WATCH_SILENCE_TIMEOUT_SECONDS * f64::from(periods);
+            let periods = self.watch.schedule.failed_attempts().clamp(1, MAX_FIRST_LINE_PERIODS);
+            let latest =
+                self.watch.schedule.requested_at() + WATCH_SILENCE_TIMEOUT_SECONDS * f64::from(periods);
             self.set_watch_deadline(latest.min(now + WATCH_SILENCE_TIMEOUT_SECONDS));
         }
     }
@@ -167,7 +153,7 @@
 
     /// Closes the watch because of a failure, and schedules the next request.
     pub(super) fn abort_watch(&mut self, now: f64, failure: WatchFailure) {
-        if self.watch.failed_attempts == 0 {
+        if self.watch.schedule.failed_attempts() == 0 {
             warn!("discovery: the watch is closed: {failure}");
         }
         self.effects.push(Effect::CloseWatch);
@@ -181,34 +167,20 @@
 
     /// Counts a failed attempt and sets the timer for the next request.
     fn schedule_watch_retry(&mut self, now: f64, failure: WatchFailure) {
-        self.watch.overloaded = failure.is_overload();
-        self.counters.watch_failures.count(failure.name());
         self.watch.response = None;
-        let failed_attempts = self.watch.failed_attempts;
-        self.watch.failed_attempts = failed_attempts.saturating_add(1);
+        self.counters.watch_failures.count(failure.name());
         if let Some(old) = self.watch.timer.take() {
             self.timers.cancel(old);
         }
-        // The pause begins at the last request, in whatever way that failed: discovery would have sent what it had by
-        // then, and a later change must be in use six seconds after discovery has it. With a pause that began at the
-        // failure, the time spent on opening the watch was added to it.
         let draw = self.rng.rand_float();
-        let pause = if self.watch.overloaded {
-            OVERLOAD_RETRY_PERIOD_SECONDS.0
-                + (OVERLOAD_RETRY_PERIOD_SECONDS.1 - OVERLOAD_RETRY_PERIOD_SECONDS.0) * draw
-        } else {
-            (WATCH_RETRY_PAUSE_SECONDS.0 * f64::from(1u32 << failed_attempts.min(4)))
-                .min(WATCH_RETRY_PAUSE_SECONDS.1)
-                * (0.5 + draw)
-        };
-        let at = (self.watch.requested_at + pause).max(now);
+        let due = self.watch.schedule.record_failure(now, failure, draw);
         debug!(
-            "discovery: {failure}; requested {:.3} s ago, last complete line {:.3} s ago, next request in {:.3} s",
-            now - self.watch.requested_at,
-            self.watch.last_line_at.map_or(f64::INFINITY, |line_at| now - line_at),
-            at - now
+            "discovery: {failure}; requested {:.3} s ago, a missed change counts as known in {:.3} s, next request in {:.3} s",
+            now - self.watch.schedule.requested_at(),
+            self.watch.schedule.known_by() - now,
+            due - now
         );
         self.watch.retry_pending = true;
-        self.watch.timer = Some(self.timers.set(at, TimerKind::Watch));
+        self.watch.timer = Some(self.timers.set(due, TimerKind::Watch));
     }
 }
--- a/crates/dewhead-proxy/src/state/mod.rs
+++ b/crates/dewhead-proxy/src/state/mod.rs
@@ -1,9 +1,11 @@
 //! The state that a proxy keeps: sessions and legs, sockets with their write buffers, servers, timers, counters,
-//! failures of the watch, and what is handed over to a successor.
+//! when discovery
+//! is asked again after a failure, and what is handed over to a successor.
 
 pub mod buffered_socket;
 pub mod counters;
 pub mod handover_state;
+pub mod request_schedule;
 pub mod servers;
 pub mod sessions;
 pub mod set_up_latency;
--- a/crates/dewhead-proxy/tests/common/mod.rs
+++ b/crates/dewhead-proxy/tests/common/mod.rs
@@ -12,6 +12,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// A response of discovery that refuses the request because of overload.
+pub const UNAVAILABLE_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 /// The zones of the settings.
 pub const ZONES: [&str; 2] = ["east", "west"];
 
