Ask a new discovery that refuses again within the four seconds that it has

Cause: what a discovery at a new address has counts as known four seconds after the new configuration, and the refused request was repeated 5 to 5.6 s after it was made; what the old watch had missed was forgotten. Ruled out: a late SIGHUP, a late list (log). Change: `RequestSchedule::for_new_discovery` begins with four seconds, or with what is left of the old watch's six where that allows a second request. The fleet's test covers a new configuration at all proxies.

--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -80,7 +80,8 @@
     pub(super) fn switch_discovery(&mut self, now: f64, discovery: SocketAddr) {
         let timer = self.watch.timer.take();
         let entries = std::mem::take(&mut self.watch.entries);
-        self.watch = Watch { timer, entries, ..Watch::new(now, discovery) };
+        let schedule = self.watch.schedule.for_new_discovery(now);
+        self.watch = Watch { timer, entries, schedule, ..Watch::new(now, discovery) };
         self.open_watch(now);
     }
 
--- a/crates/dewhead-proxy/src/state/request_schedule.rs
+++ b/crates/dewhead-proxy/src/state/request_schedule.rs
@@ -5,6 +5,8 @@
 
 /// A change counts as known this many seconds after discovery has it, whether or not it was delivered.
 const KNOWN_AFTER_SECONDS: f64 = 6.0;
+/// What a discovery at another address has counts as known this many seconds after the new configuration.
+const NEW_DISCOVERY_KNOWN_AFTER_SECONDS: f64 = 4.0;
 /// An overloaded discovery is asked again this long before missed changes count as known, at the least and at the most,
 /// varied at random. When a hundred proxies repeated the request every second, discovery answered none of them for the
 /// rest of the day.
@@ -36,6 +38,19 @@
         }
     }
 
+    /// The schedule of a discovery at another address, which takes the place of this one's discovery.
+    ///
+    /// What this discovery's watch has missed still counts as known when it would have, as far as that leaves time for a
+    /// second request.
+    pub fn for_new_discovery(&self, now: f64) -> RequestSchedule {
+        let known_by = now + NEW_DISCOVERY_KNOWN_AFTER_SECONDS;
+        let allows_second_request = self.known_by > now + OVERLOAD_MARGIN_SECONDS.1;
+        RequestSchedule {
+            known_by: if allows_second_request { known_by.min(self.known_by) } else { known_by },
+            ..RequestSchedule::new(now)
+        }
+    }
+
     /// When the watch was last requested.
     pub fn requested_at(&self) -> f64 {
         self.requested_at
--- a/crates/dewhead-proxy/tests/discovery_requests.rs
+++ b/crates/dewhead-proxy/tests/discovery_requests.rs
@@ -3,17 +3,21 @@
 
 mod common;
 
-use common::loopback::{read_line, server_entry, Proxy, StubListener, STEP_TIMEOUT};
-use common::{host_entry, server_list, settings, Harness, UNAVAILABLE_RESPONSE};
+use common::loopback::{read_line, server_entry, Proxy, StubListener};
+use common::{discovery_address, host_entry, server_list, settings, Harness, UNAVAILABLE_RESPONSE};
 use dewhead_proxy::reducer::Event;
+use rustix::process::Signal;
 use serde_json::json;
 use std::collections::{BTreeSet, VecDeque};
 use std::io::Write;
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// A change counts as known this many seconds after discovery has it, whether or not it was delivered.
 const KNOWN_AFTER_SECONDS: f64 = 6.0;
+/// What a discovery at a new address has counts as known this many seconds after the new configuration.
+const NEW_DISCOVERY_KNOWN_AFTER_SECONDS: f64 = 4.0;
+/// The grace period of a drain.
+const GRACE: Duration = Duration::from_millis(500);
 /// The head of a watch in chunks.
 const CHUNKED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// A chunk with an empty line, which discovery writes while nothing changes.
@@ -208,6 +212,37 @@
     }
 }
 
+/// A discovery at a new address that refused its first request was asked again after 5 to 5.6 s, while what it has counts
+/// as known four seconds after the new configuration, or earlier where the watch had been silent before.
+#[test]
+fn a_failed_request_after_a_new_configuration_is_repeated_within_four_seconds() {
+    for mode in ["automatic", "subscribe"] {
+        for fault in request_faults() {
+            for (seed, silent_seconds) in [(1, 0.0), (2, 1.9), (3, 2.5), (4, 5.5), (5, 20.0)] {
+                let mut harness = harness_with_watch(seed, mode, 9.0);
+                let last_line_at = harness.now;
+                while harness.now < last_line_at + silent_seconds {
+                    harness.advance(0.1);
+                }
+                let reconfigured_at = harness.now;
+                harness.deliver(Event::Reconfigured(discovery_address(2), 200));
+                fail_request(&mut harness, &fault);
+                assert_eq!(harness.watch_requests.last(), Some(&(discovery_address(2), 0)));
+                let delay = harness.now - reconfigured_at;
+                assert!(
+                    delay < NEW_DISCOVERY_KNOWN_AFTER_SECONDS,
+                    "{mode}, silent for {silent_seconds} s, {}: asked again {delay:.2} s after the new configuration",
+                    fault.name
+                );
+                if silent_seconds < 3.0 {
+                    let delay = harness.now - last_line_at;
+                    assert!(delay < KNOWN_AFTER_SECONDS, "{}: {delay:.2} s after the last line", fault.name);
+                }
+            }
+        }
+    }
+}
+
 /// An overloaded discovery is asked as rarely as the six seconds allow: once more for what was missed before the refused
 /// request, and after that in intervals of five seconds or more.
 #[test]
@@ -242,22 +277,38 @@
     let mut proxy = Proxy::start(&settings(), discovery.address, hosts("ready"));
     let _silent_watch = discovery.accept_watch(2, true, hosts("ready"));
     let last_line_at = Instant::now();
-    let mut refused = accept_request(&discovery);
-    refused.write_all(UNAVAILABLE_RESPONSE).unwrap();
-    drop(refused);
+    refuse_request(&discovery);
     let _watch = discovery.accept_watch(3, true, hosts("draining"));
     proxy.wait_for_log("is Draining");
     let delay = last_line_at.elapsed();
-    let grace = Duration::from_millis(500);
-    assert!(delay < Duration::from_secs_f64(KNOWN_AFTER_SECONDS) + grace, "known after {delay:.2?}");
+    assert!(delay < Duration::from_secs_f64(KNOWN_AFTER_SECONDS) + GRACE, "known after {delay:.2?}");
+}
+
+/// The same on real connections after SIGHUP: the new discovery refuses its first request.
+#[test]
+fn a_drain_is_known_in_time_after_a_new_configuration_and_a_refused_request() {
+    let (server, old_discovery, new_discovery) =
+        (StubListener::new(), StubListener::new(), StubListener::new());
+    let hosts = |health| vec![server_entry("s-1", server.address, health)];
+    let mut proxy = Proxy::start(&settings(), old_discovery.address, hosts("ready"));
+    let _old_watch = old_discovery.accept_watch(2, true, hosts("ready"));
+    let (old_address, new_address) = (old_discovery.address.to_string(), new_discovery.address.to_string());
+    proxy.write_configuration(&proxy.read_configuration().replace(&old_address, &new_address));
+    let reconfigured_at = Instant::now();
+    proxy.send_signal(Signal::HUP);
+    refuse_request(&new_discovery);
+    let _watch = new_discovery.accept_watch(3, true, hosts("draining"));
+    proxy.wait_for_log("is Draining");
+    let delay = reconfigured_at.elapsed();
+    let limit = Duration::from_secs_f64(NEW_DISCOVERY_KNOWN_AFTER_SECONDS) + GRACE;
+    assert!(delay < limit, "known after {delay:.2?}");
 }
 
-/// Accepts the next request for the watch and reads it.
-fn accept_request(discovery: &StubListener) -> TcpStream {
+/// Accepts the next request for the watch and refuses it.
+fn refuse_request(discovery: &StubListener) {
     let (mut lines, _) = discovery.accept_with_first_line();
-    lines.get_ref().set_read_timeout(Some(STEP_TIMEOUT)).unwrap();
     while read_line(&mut lines) != "\r\n" {}
-    lines.into_inner()
+    lines.get_mut().write_all(UNAVAILABLE_RESPONSE).unwrap();
 }
 
 /// What makes all proxies of a fleet ask discovery at the same time.
@@ -267,6 +318,8 @@
     Restart,
     /// Their watches fall silent after the same line.
     SilentWatches,
+    /// A new configuration names another discovery.
+    Reconfiguration,
 }
 
 /// A fleet of proxies and an overloaded discovery: it answers `requests_per_second` requests a second, refuses each that
@@ -299,10 +352,12 @@
             .map(|seed| Harness::at_process_start(u128::from(seed), &settings_json, 256, remembered.clone()))
             .collect();
         let mut requests_seen = vec![0; fleet.len()];
-        if cause == Cause::SilentWatches {
-            for (harness, seen) in fleet.iter_mut().zip(&mut requests_seen) {
-                harness.open_watch("");
-                *seen = harness.watch_requests.len();
+        for (harness, seen) in fleet.iter_mut().zip(&mut requests_seen).filter(|_| cause != Cause::Restart) {
+            harness.open_watch("");
+            *seen = harness.watch_requests.len();
+            if cause == Cause::Reconfiguration {
+                harness.deliver(Event::Reconfigured(discovery_address(2), 200));
+            } else {
                 // All find their watches silent in the next step.
                 harness.advance(2.6 - STEP_SECONDS);
             }
@@ -413,19 +468,25 @@
     }
 }
 
-/// All watches of a fleet fall silent after the same line, and discovery is overloaded by the requests that follow. Each
-/// proxy asks once more within the six seconds, and the fleet is still given its lists: asked twice in each six seconds,
-/// a discovery that needs five seconds or more for one request of each proxy never answered most of them.
+/// All watches of a fleet fall silent after the same line, or a new configuration names another discovery, which is
+/// overloaded by the requests that follow. Each proxy asks once more in time for what it has missed, and the fleet is
+/// still given its lists: asked twice in each six seconds, a discovery that needs five seconds or more for one request
+/// of each proxy never answered most of them.
 #[test]
-fn a_fleet_whose_watches_fall_silent_at_once_gets_its_lists_from_an_overloaded_discovery() {
-    for mode in ["automatic", "subscribe"] {
+fn a_fleet_that_loses_its_watches_at_once_gets_its_lists_from_an_overloaded_discovery() {
+    for (cause, mode) in [
+        (Cause::SilentWatches, "automatic"),
+        (Cause::SilentWatches, "subscribe"),
+        (Cause::Reconfiguration, "automatic"),
+        (Cause::Reconfiguration, "subscribe"),
+    ] {
         for requests_per_second in [50.0, 33.0, 25.0, 20.0, 17.0] {
-            let discovery = OverloadedDiscovery::new(Cause::SilentWatches, mode, 100, requests_per_second);
+            let discovery = OverloadedDiscovery::new(cause, mode, 100, requests_per_second);
             let counts = discovery.count_lists_by_second(FLEET_RECOVERY_SECONDS);
-            println!("{mode}, {requests_per_second} requests a second: {counts:?}");
+            println!("{cause:?}, {mode}, {requests_per_second} requests a second: {counts:?}");
             assert!(
                 counts[FLEET_RECOVERY_SECONDS - 1] >= 90,
-                "{mode}, {requests_per_second} requests a second: {counts:?} of 100 hold a list"
+                "{cause:?}, {mode}, {requests_per_second} requests a second: {counts:?} of 100 hold a list"
             );
         }
     }
