Hand over when the changes count as known that a silent watch has missed

Callers would have seen new calls sent to draining servers after a handover while the watch is silent, where the successor's first request is refused. Cause: the successor counted the six seconds from its own start, as the state had nothing on the predecessor's last line. Ruled out: the other ways in which its first request can fail; they are repeated within 2.6 s. Change: `known_in` in the handed-over state, a field more in the same version of its form; `RequestSchedule::inherit`, which a new configuration uses too. Test, which failed before (6.56 s after the last line, silent for 1 s, refused at once): each fault of the successor's first request, with the watch silent for 0 to 20 s. Result: the test, the other tests of handovers and those of discovery pass.

--- a/crates/dewhead-proxy/src/reducer/handover.rs
+++ b/crates/dewhead-proxy/src/reducer/handover.rs
@@ -15,11 +15,16 @@
     pub fn export_state(&self, now: f64) -> Value {
         let list = self.watch.entries.to_list(self.watch.version);
         let set_up_latencies = self.servers.0.iter().map(|(id, server)| (*id, &server.set_up_latency));
-        handover_state::encode(now, list, &self.balancer.snapshot(now), set_up_latencies, &self.type_means)
+        let known_in = self.watch.schedule.known_by() - now;
+        let learned = self.balancer.snapshot(now);
+        handover_state::encode(now, list, known_in, &learned, set_up_latencies, &self.type_means)
     }
 
     /// Imports what another process has learned of servers that are listed and have not restarted since.
     pub fn import_state(&mut self, now: f64, state: &HandoverState) {
+        if let Some(known_in) = state.known_in {
+            self.watch.schedule.inherit(now, state.encoded_at + known_in);
+        }
         let age = (now - state.encoded_at).max(0.0);
         if age > MAX_STATE_AGE * self.longest_guard_time {
             return info!("handed-over state is ignored: it is {age:.0} s old");
--- a/crates/dewhead-proxy/src/state/handover_state.rs
+++ b/crates/dewhead-proxy/src/state/handover_state.rs
@@ -51,17 +51,19 @@
            "outcomes": learned.outcomes, "counted": learned.outcome_count, "judged": learned.last_outcome_age})
 }
 
-/// Encodes the state as of `now`, in seconds since 1970; ages in it are relative to that.
+/// Encodes the state as of `now`, in seconds since 1970; ages in it are relative to that. In `known_in` seconds, changes
+/// that the watch has missed count as known.
 pub fn encode<'a>(
     now: f64,
     list: Value,
+    known_in: f64,
     learned: &[ServerSnapshot],
     set_up_latencies: impl Iterator<Item = (u64, &'a SetUpLatency)>,
     type_means: &TypeMeans,
 ) -> Value {
     let set_up_latencies: Map<String, Value> =
         set_up_latencies.map(|(id, latency)| (id.to_string(), set_up_latency_json(latency, now))).collect();
-    json!({"version": FORMAT_VERSION, "at": now, "list": list, "servers": learned.iter().map(learned_json).collect::<Vec<_>>(),
+    json!({"version": FORMAT_VERSION, "at": now, "list": list, "known_in": known_in, "servers": learned.iter().map(learned_json).collect::<Vec<_>>(),
            "paces": set_up_latencies, "kinds": type_means.snapshot()})
 }
 
@@ -72,6 +74,9 @@
     pub encoded_at: f64,
     /// The server list in discovery's form.
     pub list: Value,
+    /// In how many seconds from then on changes count as known that its watch has missed; none from a build that does
+    /// not tell it.
+    pub known_in: Option<f64>,
     /// What the balancer learned about each server.
     pub servers: Vec<ServerSnapshot>,
     /// By server: the recent mean and the typical mean, both as natural logarithms of seconds, the number of samples,
@@ -115,6 +120,7 @@
     Some(HandoverState {
         encoded_at: encoded["at"].as_f64()?,
         list: encoded["list"].clone(),
+        known_in: encoded["known_in"].as_f64(),
         servers: encoded["servers"].as_array()?.iter().filter_map(learned).collect(),
         set_up_latencies: encoded["paces"].as_object()?.iter().filter_map(set_up_latency).collect(),
         type_means: encoded["kinds"]
--- a/crates/dewhead-proxy/src/state/request_schedule.rs
+++ b/crates/dewhead-proxy/src/state/request_schedule.rs
@@ -39,15 +39,20 @@
     }
 
     /// The schedule of a discovery at another address, which takes the place of this one's discovery.
-    ///
-    /// What this discovery's watch has missed still counts as known when it would have, as far as that leaves time for a
-    /// second request.
     pub fn for_new_discovery(&self, now: f64) -> RequestSchedule {
-        let known_by = now + NEW_DISCOVERY_KNOWN_AFTER_SECONDS;
-        let allows_second_request = self.known_by > now + OVERLOAD_MARGIN_SECONDS.1;
-        RequestSchedule {
-            known_by: if allows_second_request { known_by.min(self.known_by) } else { known_by },
+        let mut schedule = RequestSchedule {
+            known_by: now + NEW_DISCOVERY_KNOWN_AFTER_SECONDS,
             ..RequestSchedule::new(now)
+        };
+        schedule.inherit(now, self.known_by);
+        schedule
+    }
+
+    /// Takes over when the changes count as known that an earlier watch has missed, as far as that leaves time for a
+    /// second request.
+    pub fn inherit(&mut self, now: f64, known_by: f64) {
+        if known_by > now + OVERLOAD_MARGIN_SECONDS.1 {
+            self.known_by = self.known_by.min(known_by);
         }
     }
 
--- a/crates/dewhead-proxy/tests/common/mod.rs
+++ b/crates/dewhead-proxy/tests/common/mod.rs
@@ -122,8 +122,18 @@
 
     /// A harness at the start of the process, before the remembered list is confirmed.
     pub fn at_process_start(seed: u128, settings: &Value, descriptors: usize, remembered: Value) -> Harness {
+        Harness::start_at(999.5, seed, settings, descriptors, remembered)
+    }
+
+    /// A harness at the start of a process that starts at this time.
+    pub fn start_at(
+        started_at: f64,
+        seed: u128,
+        settings: &Value,
+        descriptors: usize,
+        remembered: Value,
+    ) -> Harness {
         let startup = Startup::parse(settings).expect("the settings are valid");
-        let started_at = 999.5;
         let mut harness = Harness {
             reducer: Reducer::new(started_at, startup, seed, discovery_address(1), descriptors, &remembered),
             now: started_at,
--- a/crates/dewhead-proxy/tests/discovery_requests.rs
+++ b/crates/dewhead-proxy/tests/discovery_requests.rs
@@ -6,6 +6,7 @@
 use common::loopback::{read_line, server_entry, Proxy, StubListener};
 use common::{discovery_address, host_entry, server_list, settings, Harness, UNAVAILABLE_RESPONSE};
 use dewhead_proxy::reducer::Event;
+use dewhead_proxy::state::handover_state;
 use rustix::process::Signal;
 use serde_json::json;
 use std::collections::{BTreeSet, VecDeque};
@@ -243,6 +244,33 @@
     }
 }
 
+/// A successor that took over from a process whose watch had fallen silent counted the six seconds from its own start.
+#[test]
+fn a_failed_request_after_a_handover_is_repeated_within_six_seconds_of_the_predecessors_last_line() {
+    for fault in request_faults() {
+        for (seed, silent_seconds) in [(1, 0.0), (2, 1.0), (3, 1.9), (4, 2.5), (5, 2.5), (6, 20.0)] {
+            let mut predecessor = harness_with_watch(seed, "automatic", 9.0);
+            let last_line_at = predecessor.now;
+            while predecessor.now < last_line_at + silent_seconds {
+                predecessor.advance(0.1);
+            }
+            let exported = predecessor.reducer.export_state(predecessor.now);
+            let state = handover_state::decode(&exported).expect("the state has the supported version");
+            let started_at = predecessor.now + 0.1;
+            let mut successor = Harness::start_at(started_at, seed, &settings(), 256, state.list.clone());
+            successor.reducer.import_state(started_at, &state);
+            fail_request(&mut successor, &fault);
+            let limit = if silent_seconds < 3.0 { last_line_at } else { started_at } + KNOWN_AFTER_SECONDS;
+            assert!(
+                successor.now < limit,
+                "silent for {silent_seconds} s, {}: asked again {:.2} s too late",
+                fault.name,
+                successor.now - limit
+            );
+        }
+    }
+}
+
 /// An overloaded discovery is asked as rarely as the six seconds allow: once more for what was missed before the refused
 /// request, and after that in intervals of five seconds or more.
 #[test]
