Bound the wait for a line of a process's log in tests

Cause: a test that waits for a line of the log had no limit. When the log lines of list entries got another target, `clock.rs` waited for twenty minutes, until it was stopped by hand. Ruled out: a limit for each line, which a proxy that logs each failed request to discovery extends for ever (tried). Change: the log is read on a thread, and a test waits for a line for `STEP_TIMEOUT` in all; the filter of the log is a named constant. Result: with the old filter the clock test fails after 20 s; the proxy's tests pass.

--- a/crates/dewhead-proxy/tests/clock.rs
+++ b/crates/dewhead-proxy/tests/clock.rs
@@ -27,7 +27,7 @@
     let from = true_time() + STEP_DELAY;
     let plan = Plan { step: ClockStep { from, by }, ..Plan::default() };
     let known = vec![server_entry("s-1", server.address, "ready")];
-    let mut proxy = Proxy::start_with_environment(
+    let proxy = Proxy::start_with_environment(
         &settings(),
         discovery.address,
         known.clone(),
@@ -42,14 +42,10 @@
     let mut new_server = server_entry("s-2", server.address, "ready");
     new_server["born_ms"] = json!((reported_start * 1e3).round());
     writeln!(watch, "{}", server_list(3, false, vec![new_server])).expect("the watch is open");
-    loop {
-        let line = common::loopback::read_line(&mut proxy.log);
-        if let Some((_, age)) =
-            line.split_once("weight 1, started ").filter(|(_, age)| !age.starts_with("inf"))
-        {
-            return age.trim_end().to_owned();
-        }
-    }
+    proxy.log.wait_for(|line| {
+        let (_, age) = line.split_once("weight 1, started ")?;
+        (!age.starts_with("inf")).then(|| age.trim_end().to_owned())
+    })
 }
 
 /// A cold server that is taken for a warm one is sent more than rule 4 allows; a warm one that is taken for cold gets
--- a/crates/dewhead-proxy/tests/common/loopback.rs
+++ b/crates/dewhead-proxy/tests/common/loopback.rs
@@ -9,12 +9,16 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
 /// Time limit for a single step of a test: longer than any step takes on a machine with all cores busy.
 pub const STEP_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The log filter of proxies: with what discovery told and how its watch failed.
+const LOG_FILTER: &str = "info,dewhead_proxy::reducer::watch=debug,dewhead_proxy::reducer::server_list=debug";
+
 /// Reads one line with its line end; empty at the end of the stream.
 pub fn read_line(reader: &mut impl BufRead) -> String {
     let mut line = String::new();
@@ -51,6 +55,42 @@
     format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port())
 }
 
+/// The lines that a process logs. They are read on a thread of their own, so that a test waits for one no longer than
+/// `STEP_TIMEOUT`, and the process is never blocked by a full pipe.
+pub struct ProcessLog(Receiver<String>);
+
+impl ProcessLog {
+    /// Reads the log from this pipe until the process ends.
+    fn read_from(pipe: ChildStderr) -> ProcessLog {
+        let (sender, lines) = channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(pipe).lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    break;
+                }
+            }
+        });
+        ProcessLog(lines)
+    }
+
+    /// Reads up to the first line from which this function returns something, and returns that.
+    pub fn wait_for<T>(&self, find: impl Fn(&str) -> Option<T>) -> T {
+        let started_at = Instant::now();
+        loop {
+            let time_left = STEP_TIMEOUT.saturating_sub(started_at.elapsed());
+            let line = self.0.recv_timeout(time_left).expect("the process logs the line in time");
+            if let Some(found) = find(&line) {
+                return found;
+            }
+        }
+    }
+
+    /// All further lines until the process ends.
+    fn rest(&self) -> String {
+        self.0.iter().collect::<Vec<_>>().join("\n")
+    }
+}
+
 /// A running `dewhead serve` process, killed when this is dropped.
 pub struct Proxy {
     child: Child,
@@ -58,7 +98,7 @@
     pub address: SocketAddr,
     config_path: PathBuf,
     /// Its standard error, to which it logs.
-    pub log: BufReader<std::process::ChildStderr>,
+    pub log: ProcessLog,
 }
 
 impl Proxy {
@@ -88,20 +128,17 @@
             std::fs::write(&config_path, configuration.to_string()).unwrap();
             let mut command = Command::new(env!("CARGO_BIN_EXE_dewhead"));
             command.args(["serve", "--config"]).arg(&config_path);
-            command.env(
-                "RUST_LOG",
-                "info,dewhead_proxy::reducer::watch=debug,dewhead_proxy::reducer::server_list=debug",
-            );
+            command.env("RUST_LOG", LOG_FILTER);
             command.envs(environment.iter().map(|(name, value)| (name, value)));
             let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
-            let log = BufReader::new(child.stderr.take().unwrap());
+            let log = ProcessLog::read_from(child.stderr.take().unwrap());
             let mut proxy = Proxy { child, address, config_path, log };
             if proxy.wait_until_serving() {
                 return proxy;
             }
             // Another test run may have bound the port in the meantime; any other cause fails the test.
             let _ = proxy.child.kill();
-            let log = read_rest(&mut proxy.log);
+            let log = proxy.log.rest();
             assert!(log.contains("Address already in use"), "the proxy does not serve: {log}");
         }
     }
@@ -147,8 +184,8 @@
     }
 
     /// Reads the log up to the next line that contains this text.
-    pub fn wait_for_log(&mut self, text: &str) {
-        while !read_line(&mut self.log).contains(text) {}
+    pub fn wait_for_log(&self, text: &str) {
+        self.log.wait_for(|line| line.contains(text).then_some(()));
     }
 
     /// Whether the process has exited with success.
--- a/crates/dewhead-proxy/tests/discovery_requests.rs
+++ b/crates/dewhead-proxy/tests/discovery_requests.rs
@@ -263,7 +263,7 @@
 fn a_drain_is_known_in_time_after_a_silent_watch_and_a_refused_request() {
     let (server, discovery) = (StubListener::new(), StubListener::new());
     let hosts = |health| vec![server_entry("s-1", server.address, health)];
-    let mut proxy = Proxy::start(&settings(), discovery.address, hosts("ready"));
+    let proxy = Proxy::start(&settings(), discovery.address, hosts("ready"));
     let _silent_watch = discovery.accept_watch(2, true, hosts("ready"));
     let last_line_at = Instant::now();
     refuse_request(&discovery);
@@ -279,7 +279,7 @@
     let (server, old_discovery, new_discovery) =
         (StubListener::new(), StubListener::new(), StubListener::new());
     let hosts = |health| vec![server_entry("s-1", server.address, health)];
-    let mut proxy = Proxy::start(&settings(), old_discovery.address, hosts("ready"));
+    let proxy = Proxy::start(&settings(), old_discovery.address, hosts("ready"));
     let _old_watch = old_discovery.accept_watch(2, true, hosts("ready"));
     let (old_address, new_address) = (old_discovery.address.to_string(), new_discovery.address.to_string());
     proxy.write_configuration(&proxy.read_configuration().replace(&old_address, &new_address));
--- a/crates/dewhead-proxy/tests/system_calls.rs
+++ b/crates/dewhead-proxy/tests/system_calls.rs
@@ -59,7 +59,7 @@
     let (server, old_discovery, new_discovery) =
         (StubListener::new(), StubListener::new(), StubListener::new());
     let known = vec![server_entry("s-1", server.address, "ready")];
-    let mut proxy = Proxy::start(&settings(), old_discovery.address, known.clone());
+    let proxy = Proxy::start(&settings(), old_discovery.address, known.clone());
     let _watch = old_discovery.accept_watch(2, true, known.clone());
     let new_configuration = proxy
         .read_configuration()
@@ -77,7 +77,7 @@
     let plan = Plan { seed: 9, accept: 0.5, ..Plan::default() };
     let (server, discovery) = (StubListener::new(), StubListener::new());
     let known = vec![server_entry("s-1", server.address, "ready")];
-    let mut proxy = Proxy::start_with_environment(
+    let proxy = Proxy::start_with_environment(
         &single_leg_settings(),
         discovery.address,
         known.clone(),
