Set the watch's timer in one place, and name the reason of its margin only

Cause: the pause before a request set its timer by code of its own, and a comment told the story of a constant. Change: `set_watch_timer` for both; the comment says why requests come late, no more. Result: no behaviour changed; the proxy's tests pass.

--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -22,6 +22,7 @@
 /// Bytes of an incomplete first line that must arrive in each `WATCH_SILENCE_TIMEOUT_SECONDS`; with fewer, discovery is
 /// assumed to have stopped writing.
 const MIN_PROGRESS_BYTES: usize = 4096;
+
 /// The state of the watch on discovery.
 pub struct Watch {
     /// The address of discovery.
@@ -70,7 +71,7 @@
             self.watch.schedule.record_request(now);
             (self.watch.line_received, self.watch.progress_bytes) = (false, 0);
             self.effects.push(Effect::OpenWatch(self.watch.discovery, self.watch.version));
-            self.set_watch_deadline(now + WATCH_OPEN_TIMEOUT_SECONDS);
+            self.set_watch_timer(now + WATCH_OPEN_TIMEOUT_SECONDS);
         }
     }
 
@@ -85,8 +86,8 @@
         self.open_watch(now);
     }
 
-    /// Sets the time by which the next line must have arrived.
-    fn set_watch_deadline(&mut self, at: f64) {
+    /// Sets the time by which the next line must have arrived, or at which the watch is requested again.
+    fn set_watch_timer(&mut self, at: f64) {
         let new_timer = self.timers.set(at, TimerKind::Watch);
         if let Some(old) = self.watch.timer.replace(new_timer) {
             self.timers.cancel(old);
@@ -106,7 +107,8 @@
     /// Reads further bytes of the watch and applies the versions that they complete.
     pub(super) fn handle_watch_bytes(&mut self, now: f64, bytes: &[u8]) {
         let Some(mut response) = self.watch.response.take() else { return };
-        let (mut lines, mut line_completed): (Vec<Vec<u8>>, bool) = (Vec::new(), false);
+        let mut lines: Vec<Vec<u8>> = Vec::new();
+        let mut line_completed = false;
         let outcome = response.feed(bytes, |line| {
             line_completed = true;
             if !line.trim_ascii().is_empty() {
@@ -137,7 +139,7 @@
     fn extend_watch_deadline(&mut self, now: f64, line_completed: bool, byte_count: usize) {
         if line_completed {
             self.watch.line_received = true;
-            return self.set_watch_deadline(now + WATCH_SILENCE_TIMEOUT_SECONDS);
+            return self.set_watch_timer(now + WATCH_SILENCE_TIMEOUT_SECONDS);
         }
         if self.watch.line_received {
             return;
@@ -148,7 +150,7 @@
             let periods = self.watch.schedule.failed_attempts().clamp(1, MAX_FIRST_LINE_PERIODS);
             let latest =
                 self.watch.schedule.requested_at() + WATCH_SILENCE_TIMEOUT_SECONDS * f64::from(periods);
-            self.set_watch_deadline(latest.min(now + WATCH_SILENCE_TIMEOUT_SECONDS));
+            self.set_watch_timer(latest.min(now + WATCH_SILENCE_TIMEOUT_SECONDS));
         }
     }
 
@@ -180,9 +182,6 @@
     fn schedule_watch_retry(&mut self, now: f64, failure: WatchFailure) {
         self.watch.response = None;
         self.counters.watch_failures.count(failure.name());
-        if let Some(old) = self.watch.timer.take() {
-            self.timers.cancel(old);
-        }
         let draw = self.rng.rand_float();
         let due = self.watch.schedule.record_failure(now, failure, draw);
         debug!(
@@ -192,6 +191,6 @@
             due - now
         );
         self.watch.retry_pending = true;
-        self.watch.timer = Some(self.timers.set(due, TimerKind::Watch));
+        self.set_watch_timer(due);
     }
 }
--- a/crates/dewhead-proxy/src/state/request_schedule.rs
+++ b/crates/dewhead-proxy/src/state/request_schedule.rs
@@ -7,9 +7,8 @@
 const KNOWN_AFTER_SECONDS: f64 = 6.0;
 /// What a discovery at another address has counts as known this many seconds after the new configuration.
 const NEW_DISCOVERY_KNOWN_AFTER_SECONDS: f64 = 4.0;
-/// An overloaded discovery is asked again this long before missed changes count as known, at the least and at the most,
-/// varied at random. When a hundred proxies repeated the request every second, discovery answered none of them for the
-/// rest of the day.
+/// An overloaded discovery is asked again this many seconds before missed changes count as known, at the least and at the
+/// most, varied at random: requests that come sooner keep it overloaded.
 const OVERLOAD_MARGIN_SECONDS: (f64, f64) = (0.4, 1.0);
 /// A refused request is repeated no sooner than after this many seconds, however soon missed changes count as known.
 const MIN_OVERLOAD_PAUSE_SECONDS: f64 = 0.2;
