--- a/crates/dewhead-proxy/tests/discovery_requests.rs
+++ b/crates/dewhead-proxy/tests/discovery_requests.rs
@@ -90,12 +90,16 @@
     advance_to_next_request(harness, fault);
 }
 
-/// A harness whose watch has been open for `open_seconds` and has just delivered an empty line.
-fn harness_with_watch(seed: u128, mode: &str, open_seconds: f64) -> Harness {
+/// A harness in this mode of listing, with a remembered list.
+fn harness_in_mode(seed: u128, mode: &str) -> Harness {
     let mut settings_json = settings();
     settings_json["membershipMode"] = json!(mode);
-    let known = server_list(1, true, vec![host_entry(0, "ready")]);
-    let mut harness = Harness::with_settings(seed, &settings_json, 256, known);
+    Harness::with_settings(seed, &settings_json, 256, server_list(1, true, vec![host_entry(0, "ready")]))
+}
+
+/// A harness whose watch has been open for `open_seconds` and has just delivered an empty line.
+fn harness_with_watch(seed: u128, mode: &str, open_seconds: f64) -> Harness {
+    let mut harness = harness_in_mode(seed, mode);
     harness.watch_open = true;
     harness.deliver(Event::WatchOpened);
     harness.deliver(Event::WatchBytes(CHUNKED_HEAD));
@@ -317,14 +321,7 @@
     for mode in ["automatic", "subscribe"] {
         for failure in ["silent", "a head that never ends", "a line that never ends"] {
             for seed in 0..20 {
-                let mut settings_json = settings();
-                settings_json["membershipMode"] = json!(mode);
-                let mut harness = Harness::with_settings(
-                    seed,
-                    &settings_json,
-                    256,
-                    server_list(1, true, vec![host_entry(0, "ready")]),
-                );
+                let mut harness = harness_in_mode(seed, mode);
                 harness.open_watch(&server_list(2, true, vec![host_entry(0, "ready")]).to_string());
                 let (silent_since, mut requests_seen) = (harness.now, harness.watch_requests.len());
                 let (first_bytes, further_bytes) = failing_watch_bytes(failure);
@@ -388,14 +385,7 @@
     for mode in ["automatic", "subscribe"] {
         for fault in discovery_faults() {
             for (seed, readdressed) in (0..20).flat_map(|seed| [(seed, false), (seed, true)]) {
-                let mut settings_json = settings();
-                settings_json["membershipMode"] = json!(mode);
-                let mut harness = Harness::with_settings(
-                    seed,
-                    &settings_json,
-                    256,
-                    server_list(1, true, vec![host_entry(0, "ready")]),
-                );
+                let mut harness = harness_in_mode(seed, mode);
                 harness.open_watch(&server_list(2, true, vec![host_entry(0, "ready")]).to_string());
                 harness.advance(0.3);
                 if readdressed {
@@ -453,14 +443,7 @@
 fn a_lost_watch_that_was_open_is_requested_again_at_once() {
     for mode in ["automatic", "subscribe"] {
         for seed in 0..20 {
-            let mut settings_json = settings();
-            settings_json["membershipMode"] = json!(mode);
-            let mut harness = Harness::with_settings(
-                seed,
-                &settings_json,
-                256,
-                server_list(1, true, vec![host_entry(0, "ready")]),
-            );
+            let mut harness = harness_in_mode(seed, mode);
             harness.open_watch(&server_list(2, true, vec![host_entry(0, "ready")]).to_string());
             harness.advance(1.0);
             harness.deliver(Event::WatchBytes(b"\n"));
