--- a/crates/dewhead-proxy/tests/discovery_requests.rs
+++ b/crates/dewhead-proxy/tests/discovery_requests.rs
@@ -139,6 +139,26 @@
     }
 }
 
+/// Two requests fail after a silent watch, and the second one is refused with less than the usual pause left.
+#[test]
+fn a_request_refused_after_an_unanswered_one_is_repeated_within_six_seconds_of_the_last_line() {
+    let refusal = Fault::new("refused with 503 at once", UNAVAILABLE_RESPONSE);
+    let late_refusal =
+        Fault { delay: 0.5, ..Fault::new("refused with 503 after half a second", UNAVAILABLE_RESPONSE) };
+    for (seed, second) in (0..20).flat_map(|seed| [(seed, &refusal), (seed, &late_refusal)]) {
+        let mut harness = harness_with_watch(seed, "automatic", 9.0);
+        let last_line_at = harness.now;
+        let unanswered = Fault::new("unanswered", b"");
+        advance_to_next_request(&mut harness, &Fault { delay: f64::MAX, ..unanswered.clone() });
+        fail_request(&mut harness, &unanswered);
+        let refused_from = harness.now + second.delay;
+        fail_request(&mut harness, second);
+        let (delay, pause) = (harness.now - last_line_at, harness.now - refused_from);
+        assert!(delay < KNOWN_AFTER_SECONDS, "{}: asked again {delay:.2} s after the last line", second.name);
+        assert!(pause > 0.15, "{}: asked again {pause:.2} s after the refusal", second.name);
+    }
+}
+
 /// A list that is too long may be shorter before the six seconds are over, but is not to be written over and over.
 #[test]
 fn a_discovery_whose_list_is_too_long_is_asked_again_within_six_seconds_and_rarely() {
--- a/crates/dewhead-proxy/tests/overloaded_discovery.rs
+++ b/crates/dewhead-proxy/tests/overloaded_discovery.rs
@@ -165,8 +165,8 @@
 
 /// All watches of a fleet fall silent after the same line, or a new configuration names another discovery, which is
 /// overloaded by the requests that follow. Each proxy asks once more in time for what it has missed, and the fleet is
-/// still given its lists: asked twice in each six seconds, a discovery that needs five seconds or more for one request
-/// of each proxy never answered most of them.
+/// still given its lists: asked twice in each six seconds, a discovery that needs five seconds for one request of each
+/// proxy never answered most of them.
 #[test]
 fn a_fleet_that_loses_its_watches_at_once_gets_its_lists_from_an_overloaded_discovery() {
     for (cause, mode) in [
