review: case 10, a new process trusts its old list while discovery is slow

Cause: first lines are held back for a sixteenth of the longest guard time only, until discovery confirms the list.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -156,6 +156,7 @@
         self.seq = 1
         self.silent = False
         self.watches = []
+        self.connections = []
         self.requests = 0
         self.last_line_at = None
 
@@ -180,13 +181,18 @@
         watch["writer"].write(b"%x\r\n%s\r\n" % (len(data), data))
         self.last_line_at = self.record.now()
 
+    async def first_answer(self):
+        """What happens before the first line of a watch is written: it comes at once."""
+
     @guarded
     async def serve(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
         self.record.line(f"{self.name} is asked: {head.split(b' HTTP')[0].decode()}"
                          + (", and is silent" if self.silent else ""))
-        watch = {"writer": writer, "broken": self.silent, "next": 0.0}
+        self.connections.append(writer)
+        await self.first_answer()
+        watch = {"writer": writer, "broken": self.silent}
         if not self.silent:
             since = int(re.search(rb"since=(\d+)", head).group(1))
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
