review: the stand-ins watch their own lateness

Cause: on a busy machine late stand-ins could be taken for a late proxy. Added: a script ends with 2 where its stand-ins were late by more than 0.1 s; they need no newer Python than 3.8.

--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -16,6 +16,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 LOOPBACK = "127.0.0.1"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Times say nothing if this process was held up for longer than this, in seconds.
+MOST_LATENESS = 0.1
 
 
 class CouldNotRun(Exception):
@@ -353,12 +355,16 @@
                 await asyncio.sleep(2.0)
         talking = asyncio.create_task(talk())
         self.end, received = "open", b""
+
+        async def receive():
+            nonlocal received
+            while data := await reader.read(4096):
+                received += data
+
         try:
-            async with asyncio.timeout(seconds):
-                while data := await reader.read(4096):
-                    received += data
-                self.end = "closed"
-        except TimeoutError:
+            await asyncio.wait_for(receive(), seconds)
+            self.end = "closed"
+        except asyncio.TimeoutError:
             pass
         except OSError:
             self.end = "reset"
@@ -383,15 +389,31 @@
     record = Record(folder)
     proxies = []
 
+    lateness = 0.0
+
+    async def watch_lateness():
+        """Finds out by how much this process was late itself."""
+        nonlocal lateness
+        while True:
+            due = record.now() + 0.02
+            await asyncio.sleep(0.02)
+            lateness = max(lateness, record.now() - due)
+
     async def limited():
-        async with asyncio.timeout(seconds):
-            return await case(record, temporary, proxies)
+        watching = asyncio.create_task(watch_lateness())
+        try:
+            return await asyncio.wait_for(case(record, temporary, proxies), seconds)
+        finally:
+            watching.cancel()
+            record.line(f"the stand-ins were late by {lateness:.3f} s at the most")
 
     with tempfile.TemporaryDirectory(prefix="dewhead-review-") as temporary:
         try:
             loop = asyncio.new_event_loop()
             code = HELD if loop.run_until_complete(limited()) else BROKEN
-        except (CouldNotRun, OSError, TimeoutError) as error:
+            if lateness > MOST_LATENESS:
+                raise CouldNotRun(f"the stand-ins were late by {lateness:.3f} s")
+        except (CouldNotRun, OSError, asyncio.TimeoutError) as error:
             record.say(f"the case could not run: {error!r}")
             code = COULD_NOT_RUN
         finally:
