--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import hashlib
 import json
 import os
 import re
@@ -249,13 +250,13 @@
     def __init__(self, name, record, discovery, known, its_settings, folder):
         self.name, self.record = name, record
         self.listen = f"{LOOPBACK}:{free_port()}"
-        self.config = {"name": name, "listen": self.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        self.starts = 0
+        self.config = {"name": name, "listen": self.listen, "discovery": discovery, "seed": "",
                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
                        "settings": its_settings}
         self.folder = os.path.join(folder, name)
         os.makedirs(os.path.join(self.folder, "tmp"))
         self.path = os.path.join(self.folder, "config.json")
-        self.write_config(json.dumps(self.config))
         self.process = None
 
     def write_config(self, text):
@@ -264,6 +265,10 @@
         os.rename(self.path + ".next", self.path)
 
     def start(self):
+        # The seed is new with each start, and the same each time the case is run.
+        self.starts += 1
+        self.config["seed"] = hashlib.sha256(f"{self.name}/{self.starts}".encode()).hexdigest()[:16]
+        self.write_config(json.dumps(self.config))
         environment = dict(os.environ, LB_NAME=self.name, LB_LISTEN=self.listen,
                            LB_DISCOVERY=self.config["discovery"], LB_CONFIG=self.path,
                            TMPDIR=os.path.join(self.folder, "tmp"), RUST_LOG=os.environ.get("RUST_LOG", "info"))
