Keep the clients of the idle-clients test connected until they are answered

Here it passed 17 of 17 runs on eight cores and failed 6 of 8 runs pinned to one core.

Cause: the test's loop dropped each client as soon as it had opened it, so that the end of the connection arrived with the request. Ruled out by the same log: a request that was abandoned, and a list that was held down.

Change: the clients stay connected. The six seconds, the idle clients and the limit of memory are as they were; the test asks for more than before, as each call now holds a descriptor until it is answered.

--- a/crates/dewhead-proxy/tests/guarantees_under_faults.rs
+++ b/crates/dewhead-proxy/tests/guarantees_under_faults.rs
@@ -126,6 +126,8 @@
     };
     let mut watches = Vec::new();
     let mut answered = 0;
+    // A call whose client has left before the proxy reads it is not begun, so that the clients stay.
+    let mut waiting_clients = Vec::new();
     // A watch that was opened before may have been abandoned; only the answer on one that is still open counts.
     while new_server.listener.accept().is_err() {
         assert!(answering_since.elapsed() < Duration::from_secs(6), "the list is not applied");
@@ -136,7 +138,8 @@
             answered += 1;
         }
         // Opens calls repeatedly; they are served by the new server once the list is applied.
-        let _ = proxy.open_client(100 + answered + answering_since.elapsed().as_millis() as u64, "feed", 300);
+        let id = 100 + answered + answering_since.elapsed().as_millis() as u64;
+        waiting_clients.push(proxy.open_client(id, "feed", 300));
         std::thread::sleep(Duration::from_millis(20));
         while let Ok((socket, _)) = old_server.listener.accept() {
             drop(socket);
