Choose no server by a remembered list before discovery has confirmed it

Cause: the list from before the start counted as confirmed after a sixteenth of the longest guard time (0.19 s), by a timer of the process, whoever had answered. What the agent has counts as told from the first moment of a new process. Ruled out by the record and the log: a late request (0.00 s) and a list applied late (the millisecond of the answer).

Change: dewhead::list_source says who told the list and when a server may be chosen by it, and reducer/held_requests.rs keeps PING and first lines meanwhile: until discovery has completed a line, 5.75 s at the most, not while nobody listens at its address. A list that was handed over is used within the grace period, and then once discovery has answered or after 2.1 s. A request is kept until its set-up target and then rejected with the time to come again.

Harnesses that waited for the 0.19 s to pass now let discovery confirm the list or wait until the process accepts clients.

--- a/crates/dewhead-lab/src/baseline.rs
+++ b/crates/dewhead-lab/src/baseline.rs
@@ -883,7 +883,7 @@
             }
             // The baseline makes no hedged requests.
             Event::HedgeBytes(..) | Event::HedgeLost(_) => {}
-            Event::WatchLost => {
+            Event::WatchLost | Event::WatchRefused => {
                 self.watch_response = None;
                 self.schedule(now + WATCH_RETRY_DELAY, Timer::Watch);
             }
--- a/crates/dewhead-proxy/src/event_loop.rs
+++ b/crates/dewhead-proxy/src/event_loop.rs
@@ -224,7 +224,7 @@
         let now = self.clock.now();
         let mut polls_since_tick = 0;
         self.apply(now, &[]);
-        self.handle_stage_event(now, StageEvent::ServerListHeld(self.reducer.has_server_list()));
+        self.handle_stage_event(now, StageEvent::ServerListHeld(self.reducer.has_usable_server_list(now)));
         self.handle_stage_event(now, StageEvent::Listening);
         while !self.exit {
             self.notifier.send_watchdog_if_due(self.clock.now());
@@ -382,11 +382,14 @@
 
     /// Passes an event to the reducer and carries out the effects; `bytes` are those of the event.
     fn dispatch(&mut self, now: f64, event: Event, bytes: &[u8]) {
-        let from_watch = matches!(event, Event::WatchBytes(_) | Event::HedgeBytes(..));
+        let may_change_list = matches!(event, Event::WatchBytes(_) | Event::HedgeBytes(..) | Event::Tick);
         self.reducer.step(now, event);
         self.apply(now, bytes);
-        if from_watch {
-            self.handle_stage_event(now, StageEvent::ServerListHeld(self.reducer.has_server_list()));
+        if may_change_list {
+            self.handle_stage_event(
+                now,
+                StageEvent::ServerListHeld(self.reducer.has_usable_server_list(now)),
+            );
         }
     }
 
--- a/crates/dewhead-proxy/src/event_loop/watch.rs
+++ b/crates/dewhead-proxy/src/event_loop/watch.rs
@@ -10,12 +10,14 @@
 use std::io::{self, Read};
 use std::net::SocketAddr;
 
-/// Sends the request on a connection that is no longer being established. False: that has failed.
-fn finish_connecting(connection: &mut BufferedSocket) -> bool {
-    let is_established =
-        matches!(connection.socket.take_error(), Ok(None)) && connection.socket.peer_addr().is_ok();
+/// Sends the request on a connection that is no longer being established.
+fn finish_connecting(connection: &mut BufferedSocket) -> io::Result<()> {
     connection.connecting = false;
-    is_established && connection.flush().is_ok()
+    if let Some(error) = connection.socket.take_error()? {
+        return Err(error);
+    }
+    connection.socket.peer_addr()?;
+    connection.flush().map(drop)
 }
 
 impl EventLoop {
@@ -34,8 +36,8 @@
     /// Sends the request once the connection is established. False: it has failed.
     fn finish_connecting_watch(&mut self, now: f64) -> bool {
         let Some(connection) = self.watch.as_mut() else { return false };
-        if !finish_connecting(connection) {
-            self.watch_lost(now);
+        if let Err(error) = finish_connecting(connection) {
+            self.watch_not_opened(now, &error);
             return false;
         }
         self.dispatch(now, Event::WatchOpened, &[]);
@@ -64,12 +66,21 @@
         self.dispatch(now, Event::WatchLost, &[]);
     }
 
+    /// Closes the connection to discovery, which could not be established, and reports that.
+    fn watch_not_opened(&mut self, now: f64, error: &io::Error) {
+        if error.kind() != io::ErrorKind::ConnectionRefused {
+            return self.watch_lost(now);
+        }
+        self.watch = None;
+        self.dispatch(now, Event::WatchRefused, &[]);
+    }
+
     /// Connects to discovery and requests the changes since that version of the list.
     pub(super) fn open_watch(&mut self, now: f64, discovery: SocketAddr, since: u64) {
         self.watch = None;
         match self.request_watch(WATCH, discovery, since) {
             Ok(connection) => self.watch = Some(connection),
-            Err(_) => self.watch_lost(now),
+            Err(error) => self.watch_not_opened(now, &error),
         }
     }
 
@@ -110,7 +121,7 @@
             if !writable {
                 return;
             }
-            if !finish_connecting(connection) {
+            if finish_connecting(connection).is_err() {
                 return self.hedge_lost(now, slot);
             }
         }
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -8,6 +8,7 @@
 mod first_line;
 mod handover;
 mod hedged_watch;
+mod held_requests;
 mod hold_down;
 mod legs;
 mod send_checks;
@@ -30,9 +31,9 @@
 use crate::state::start_times::WallClock;
 use crate::state::timers::{Timer, Timers};
 use crate::wire::answers;
-use crate::wire::http::WatchResponse;
 use crate::wire::server_list::ListVersion;
 use balancer_requests::{BalancerRequest, RequestQueue};
+use dewhead::list_source::ListReliance;
 use dewhead::state::Balancer;
 use dewhead::types::{LegOutcome, TrafficType};
 use dewhead_startup::{KnownNames, Startup};
@@ -80,6 +81,8 @@
     WatchBytes(&'a [u8]),
     /// The connection to discovery ended or was not established.
     WatchLost,
+    /// Nobody listens at discovery's address.
+    WatchRefused,
     /// Bytes were read from the hedged request in this slot.
     HedgeBytes(usize, &'a [u8]),
     /// The connection of the hedged request in this slot ended or was not established.
@@ -153,8 +156,8 @@
     Watch,
     /// Makes the next hedged request for the watch.
     HedgedRequest,
-    /// The time for discovery to send its list after the start is over.
-    ConfirmationTimeout,
+    /// The time for discovery to confirm the list is over.
+    ListDoubtEnd,
     /// Uses the servers again whose hold-down is over.
     HoldDownEnd,
     /// Checks for descriptors to free while none is left to accept with.
@@ -194,9 +197,6 @@
 const MAX_INCOMPLETE_LINE_SECONDS: f64 = 6.0;
 /// A timer may run this many seconds before the time that it was set for, as timers have a resolution of a microsecond.
 const TIMER_RESOLUTION_SECONDS: f64 = 1e-3;
-/// At the start, first lines are not processed until discovery has sent its list, but for no longer than this fraction
-/// of the longest guard time: the local agent of discovery either answers at once or not at all.
-const CONFIRMATION_TIMEOUT_SHARE: f64 = 1.0 / 16.0;
 /// A measured duration is not attributed to a server if the iteration in which it ends was late by more than this
 /// fraction of the duration.
 const MAX_OWN_DELAY_SHARE: f64 = 0.1;
@@ -254,9 +254,10 @@
     /// Everything that arrived until `polled_at` has been read; this iteration began `iteration_delay` seconds late.
     polled_at: f64,
     iteration_delay: f64,
-    /// The current list is from before the start, and discovery may have announced drains since: no first line is
-    /// processed until it is confirmed.
-    list_unconfirmed: bool,
+    /// Whether servers may be chosen by the current list.
+    list_reliance: ListReliance,
+    /// The longest time after which a client may be asked to come again, in seconds; none if none may be named.
+    max_retry_after: Option<f64>,
     descriptors: Descriptors,
     rng: Rand64,
     effects: Vec<Effect>,
@@ -276,6 +277,7 @@
         let (groups_enabled, must_subscribe) = (startup.groups, startup.must_subscribe);
         let (connect_timeout, longest_guard_time) = (startup.connect_timeout, startup.longest_guard_time);
         let pushed_list_grace = (!must_subscribe).then_some(startup.drain_grace);
+        let max_retry_after = startup.max_retry_after();
         let slow_message_threshold = startup.shortest_message_target / 3.0;
         let slow_set_up_unit = longest_guard_time / 30.0;
         let type_means = TypeMeans::new(startup.names.traffic_types.len());
@@ -320,7 +322,8 @@
             exit_due: false,
             polled_at: f64::INFINITY,
             iteration_delay: 0.0,
-            list_unconfirmed: false,
+            list_reliance: ListReliance::new(pushed_list_grace),
+            max_retry_after,
             descriptors: Descriptors { used: RESERVED_DESCRIPTORS, limit: max_descriptors, accepting: true },
             rng: Rand64::new(seed ^ 1),
             effects: Vec::new(),
@@ -340,9 +343,10 @@
     fn apply_last_known_list(&mut self, now: f64, list: &Value) {
         let version = ListVersion::from_json(list, &self.names.zones);
         self.apply_list(now, version, true);
-        self.list_unconfirmed = self.has_server_list();
-        let confirmed_by = now + CONFIRMATION_TIMEOUT_SHARE * self.longest_guard_time;
-        self.timers.set(confirmed_by, TimerKind::ConfirmationTimeout);
+        if self.has_server_list() {
+            self.list_reliance.on_remembered_list(now, self.longest_guard_time);
+            self.schedule_list_doubt_end();
+        }
     }
 
     /// When the next timer is due, in seconds.
@@ -433,9 +437,10 @@
             Event::ConnectFailed(leg) => self.handle_connect_failed(now, leg),
             Event::ConnectNotStarted(leg) => self.postpone_connect(now, leg),
             Event::HeadWritten(leg) => self.handle_head_written(now, leg),
-            Event::WatchOpened => self.watch.response = Some(WatchResponse::default()),
+            Event::WatchOpened => self.handle_watch_opened(now),
             Event::WatchBytes(bytes) => self.handle_watch_bytes(now, bytes),
             Event::WatchLost => self.handle_watch_lost(now),
+            Event::WatchRefused => self.handle_watch_refused(now),
             Event::HedgeBytes(slot, bytes) => self.handle_hedge_bytes(now, slot, bytes),
             Event::HedgeLost(slot) => self.handle_hedge_lost(slot),
             Event::Tick => {
@@ -558,7 +563,7 @@
                 self.schedule_descriptor_check(now);
             }
             TimerKind::ArrivalsOver => {}
-            TimerKind::ConfirmationTimeout => self.confirm_list(now),
+            TimerKind::ListDoubtEnd => self.end_list_doubt(now),
             TimerKind::FinalMoves => self.move_remaining_clients(now),
             TimerKind::Exit => self.exit_due = true,
         }
--- a/crates/dewhead-proxy/src/reducer/clients.rs
+++ b/crates/dewhead-proxy/src/reducer/clients.rs
@@ -33,6 +33,8 @@
             request_id: None,
             idle_position: None,
             pings: 0,
+            held_pings: 0,
+            held_request: None,
             first_line: Vec::new(),
             wait_range: 0..0,
             traffic_type: 0,
--- a/crates/dewhead-proxy/src/reducer/established.rs
+++ b/crates/dewhead-proxy/src/reducer/established.rs
@@ -200,6 +200,7 @@
     pub(super) fn handle_session_timer(&mut self, now: f64, key: usize) {
         let session = &self.sessions[key];
         match session.stage {
+            SessionStage::AwaitingFirstLine if session.is_held() => self.decline_held(now, key),
             SessionStage::AwaitingFirstLine if !session.first_line.is_empty() => {
                 self.answer_malformed(now, key)
             }
--- a/crates/dewhead-proxy/src/reducer/first_line.rs
+++ b/crates/dewhead-proxy/src/reducer/first_line.rs
@@ -21,14 +21,8 @@
 impl Reducer {
     /// Processes the session's first line once it is complete: answers a `PING`, or starts or restores a call.
     pub(super) fn process_first_line(&mut self, now: f64, key: usize) {
-        if self.list_unconfirmed {
-            if matches!(first_line_end(&self.sessions[key].first_line), Ok(Some(_))) {
-                // The client waits for an answer now, so its session must not be closed as idle.
-                self.clear_idle(key);
-            }
-            return;
-        }
         let session = &self.sessions[key];
+        let arrived_at = session.held_request.map_or(now, |held| held.arrived_at);
         let end = match first_line_end(&session.first_line) {
             Ok(Some(end)) => end,
             Ok(None) => return,
@@ -36,7 +30,7 @@
         };
         match parse_first_line(
             &session.first_line[..end],
-            now,
+            arrived_at,
             self.longest_guard_time,
             &self.names,
             self.groups_enabled,
@@ -47,6 +41,10 @@
             Ok(FirstLine::Open { id, request, wait_range, server_range })
                 if end == session.first_line.len() && self.may_use_id(now, id) =>
             {
+                if self.list_reliance.is_doubted(now) {
+                    return self.hold_request(now, key, &request, server_range.is_some());
+                }
+                self.sessions[key].held_request = None;
                 self.open_request(now, key, id, request, wait_range, server_range)
             }
             Ok(_) => self.answer_malformed(now, key),
@@ -57,20 +55,25 @@
         }
     }
 
-    /// Answers a `PING` that takes this many bytes, and processes what follows it. It is answered only while servers are
-    /// known and no drain, retirement or stop is in progress; lines after it are processed either way.
+    /// Answers a `PING` that takes this many bytes, and processes what follows it. It is answered only while this process
+    /// takes clients; where that waits for discovery alone, the answer waits as well. Lines after it are processed either
+    /// way.
     fn answer_ping(&mut self, now: f64, key: usize, length: usize) {
         let session = &mut self.sessions[key];
         session.pings += 1;
         session.first_line.drain(..length);
         let has_more = !session.first_line.is_empty();
-        let can_serve = !self.servers.0.is_empty() && self.draining_since.is_none();
-        if can_serve {
+        let is_held = self.list_reliance.declines_clients(now) && self.draining_since.is_none();
+        session.held_pings += u32::from(is_held);
+        let takes_clients = self.takes_clients(now);
+        if takes_clients {
             self.effects.push(Effect::Write(Endpoint::Client(key), answers::PONG.to_vec()));
         }
         if has_more {
             self.process_first_line(now, key);
-        } else if !can_serve {
+        } else if is_held {
+            self.clear_idle(key);
+        } else if !takes_clients {
             self.send_final_answer(now, key, Vec::new(), AnswerReason::PingDeclined);
         } else if self.sessions[key].idle_position.is_none() {
             self.mark_idle(now, key);
--- a/crates/dewhead-proxy/src/reducer/handover.rs
+++ b/crates/dewhead-proxy/src/reducer/handover.rs
@@ -4,6 +4,7 @@
 use super::Reducer;
 use crate::state::handover_state::{self, HandoverState, WatchState};
 use crate::state::set_up_latency::SetUpLatency;
+use crate::wire::server_list::parse_list;
 use log::info;
 use serde_json::Value;
 
@@ -18,6 +19,7 @@
             list: self.watch.entries.to_list(self.watch.version),
             known_in: self.watch.schedule.known_by() - now,
             answers_at_once: self.hedges.answers_at_once_or_never(),
+            list_confirmed: !self.list_reliance.declines_clients(now),
             withdrawn: self.hold_downs.export(now),
         };
         let set_up_latencies = self.servers.0.iter().map(|(id, server)| (*id, &server.set_up_latency));
@@ -27,6 +29,7 @@
 
     /// Imports what another process has learned of servers that are listed and have not restarted since.
     pub fn import_state(&mut self, now: f64, state: &HandoverState) {
+        self.import_list_source(now, state);
         if let Some(known_in) = state.known_in {
             self.watch.schedule.inherit(now, state.encoded_at + known_in);
         }
@@ -53,6 +56,14 @@
         info!("imported what was learned of {restored_count} servers, {age:.1} s old");
     }
 
+    /// Takes the list over as one that discovery has confirmed until now, if the predecessor knew it as such.
+    fn import_list_source(&mut self, now: f64, state: &HandoverState) {
+        if state.list_confirmed && parse_list(&state.list, &self.names.zones).is_ok() {
+            self.list_reliance.on_takeover(now);
+            self.schedule_list_doubt_end();
+        }
+    }
+
     /// Begins the retirement, as another process serves from now on: moves all clients away over this many seconds;
     /// then the process exits.
     pub(super) fn begin_retirement(&mut self, now: f64, spread: f64) {
--- a/crates/dewhead-proxy/src/reducer/hedged_watch.rs
+++ b/crates/dewhead-proxy/src/reducer/hedged_watch.rs
@@ -5,11 +5,10 @@
 use crate::state::hedged_requests::MAX_HEDGES;
 use crate::state::watch_failure::WatchFailure;
 use crate::wire::http::WatchResponse;
+use dewhead::list_source::OVERLOADED_ANSWER_SECONDS;
 
 /// Discovery writes a line to a watch at least every two seconds; one that is this many seconds late may be lost.
 const LATE_LINE_SECONDS: f64 = 2.1;
-/// An overloaded discovery answers or refuses a request within two seconds.
-const REFUSED_WITHIN_SECONDS: f64 = 2.1;
 
 impl Reducer {
     /// Sets the time of the next hedged request, in seconds.
@@ -24,7 +23,7 @@
     pub(super) fn schedule_hedge(&mut self, now: f64) {
         if self.hedges.enabled() {
             let draw = self.rng.rand_float();
-            self.set_hedge_timer(self.hedges.next_due(now, REFUSED_WITHIN_SECONDS, draw));
+            self.set_hedge_timer(self.hedges.next_due(now, OVERLOADED_ANSWER_SECONDS, draw));
         }
     }
 
@@ -49,8 +48,9 @@
     }
 
     /// Notes for the hedged requests how the watch, or a request for it, has failed.
-    pub(super) fn note_failure_for_hedges(&mut self, failure: WatchFailure) {
+    pub(super) fn note_failure_for_hedges(&mut self, now: f64, failure: WatchFailure) {
         if failure.is_overload() {
+            self.note_refusal_for_list(now);
             self.hedges.record_refusal();
             self.stop_hedging();
         } else if failure == WatchFailure::LineOverdue && !self.watch.line_received {
@@ -88,7 +88,7 @@
         match feed.outcome {
             Err(error) => {
                 self.close_hedge(slot);
-                self.note_failure_for_hedges(WatchFailure::InvalidResponse(error));
+                self.note_failure_for_hedges(now, WatchFailure::InvalidResponse(error));
             }
             Ok(false) => self.close_hedge(slot),
             Ok(true) if !hedge.response.has_head() => {}
--- a/crates/dewhead-proxy/src/reducer/server_list.rs
+++ b/crates/dewhead-proxy/src/reducer/server_list.rs
@@ -2,7 +2,7 @@
 
 use super::Reducer;
 use crate::state::hold_down::{Continuity, HOLD_DOWN_SECONDS};
-use crate::state::sessions::{LegStage, ServerLeg, Session, SessionStage};
+use crate::state::sessions::{LegStage, ServerLeg};
 use crate::wire::server_list::{Entry, ListVersion};
 use dewhead::types::{LegOutcome, ListUpdate, ServerState};
 use dewhead_startup::fields::ParseResult;
@@ -36,9 +36,6 @@
         self.log_version(&version, held_count);
         self.record_version(&version, cached);
         let gone = self.apply_entries(now, update, version.entries);
-        if !cached {
-            self.confirm_list(now);
-        }
         self.move_clients_of(now, &gone);
         true
     }
@@ -142,17 +139,6 @@
             self.legs.iter().filter(|(_, l)| at_gone_server(l)).map(|(_, l)| l.session).collect();
         keys.into_iter().for_each(|key| self.move_client(now, key, LegOutcome::Broken));
     }
-
-    /// Takes the current list as confirmed, and processes the first lines that arrived before that.
-    pub(super) fn confirm_list(&mut self, now: f64) {
-        if std::mem::take(&mut self.list_unconfirmed) {
-            let has_begun_first_line =
-                |s: &Session| s.stage == SessionStage::AwaitingFirstLine && !s.first_line.is_empty();
-            let keys: Vec<usize> =
-                self.sessions.iter().filter(|(_, s)| has_begun_first_line(s)).map(|(key, _)| key).collect();
-            keys.into_iter().for_each(|key| self.process_first_line(now, key));
-        }
-    }
 }
 
 /// How the balancer is to take a version. `cached`: it is from before the start.
--- a/crates/dewhead-proxy/src/reducer/shutdown.rs
+++ b/crates/dewhead-proxy/src/reducer/shutdown.rs
@@ -54,6 +54,7 @@
         let Some(deadline) = self.answer_deadline else { return };
         let session = &mut self.sessions[key];
         match session.stage {
+            SessionStage::AwaitingFirstLine => return self.limit_held(now, key),
             SessionStage::AwaitingServer => {}
             SessionStage::Restoring => {
                 if let Some((_, request)) = &mut session.restoring {
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -121,6 +121,12 @@
         self.watch.response = Some(hedge.response);
     }
 
+    /// Handles the established connection of the watch.
+    pub(super) fn handle_watch_opened(&mut self, now: f64) {
+        self.watch.response = Some(WatchResponse::default());
+        self.note_discovery_connection(now, true);
+    }
+
     /// Requests the full list from discovery at another address, at once. The version numbers of the old discovery
     /// don't apply to the new one: compared with them, the list of a discovery with lower numbers would look outdated
     /// and never be applied. The current list is kept until the new one arrives, and what it has withdrawn is held down in
@@ -178,6 +184,7 @@
         }
         if feed.line_completed {
             self.watch.schedule.record_line(now);
+            self.confirm_list(now);
             self.hedge_next_line(now, is_first_line);
         }
         match feed.outcome {
@@ -233,10 +240,16 @@
         self.schedule_watch_retry(now, WatchFailure::ConnectionLost);
     }
 
+    /// Schedules the next request after nobody has listened at discovery's address.
+    pub(super) fn handle_watch_refused(&mut self, now: f64) {
+        self.note_discovery_connection(now, false);
+        self.handle_watch_lost(now);
+    }
+
     /// Counts a failed attempt and sets the timer for the next request.
     fn schedule_watch_retry(&mut self, now: f64, failure: WatchFailure) {
         self.watch.response = None;
-        self.note_failure_for_hedges(failure);
+        self.note_failure_for_hedges(now, failure);
         self.counters.watch_failures.count(failure.name());
         let draw = self.rng.rand_float();
         let longest_pause = self.hedges.longest_interval();
--- a/crates/dewhead-proxy/src/state/counters.rs
+++ b/crates/dewhead-proxy/src/state/counters.rs
@@ -52,8 +52,11 @@
     InvalidFirstLine,
     /// The client sent data before it had its answer.
     DataBeforeAnswer,
-    /// A `PING` was not answered: no server is listed, or the proxy is moving its clients away.
+    /// A `PING` was not answered: no server is listed, discovery has not confirmed the list, or the proxy is moving its
+    /// clients away.
     PingDeclined,
+    /// Discovery did not confirm the list within the request's time.
+    ListUnconfirmed,
     /// The connection could not be restored to the server that held it before.
     RestoreFailed,
     /// The client was sent `MOVE`, to be sent to another server or because its server ended the connection.
@@ -71,6 +74,7 @@
             AnswerReason::InvalidFirstLine => "misunderstood",
             AnswerReason::DataBeforeAnswer => "spoke_early",
             AnswerReason::PingDeclined => "no_sign_of_life",
+            AnswerReason::ListUnconfirmed => "list_unconfirmed",
             AnswerReason::RestoreFailed => "not_put_back",
             AnswerReason::Moved => "moved",
             AnswerReason::IncompleteLine => "line_never_ended",
--- a/crates/dewhead-proxy/src/state/handover_state.rs
+++ b/crates/dewhead-proxy/src/state/handover_state.rs
@@ -69,6 +69,8 @@
     pub known_in: f64,
     /// Whether discovery answers at once or not at all.
     pub answers_at_once: bool,
+    /// Whether discovery has confirmed the list, or has had its time for that.
+    pub list_confirmed: bool,
     /// The servers that lists which may be behind cannot bring back.
     pub withdrawn: Vec<WithdrawnServer>,
 }
@@ -84,7 +86,8 @@
     let set_up_latencies: Map<String, Value> =
         set_up_latencies.map(|(id, latency)| (id.to_string(), set_up_latency_json(latency, now))).collect();
     json!({"version": FORMAT_VERSION, "at": now, "discovery": watch.discovery.to_string(), "list": watch.list,
-           "known_in": watch.known_in, "answers_at_once": watch.answers_at_once, "withdrawn": watch.withdrawn, "servers": learned.iter().map(learned_json).collect::<Vec<_>>(),
+           "known_in": watch.known_in, "answers_at_once": watch.answers_at_once, "list_confirmed": watch.list_confirmed,
+           "withdrawn": watch.withdrawn, "servers": learned.iter().map(learned_json).collect::<Vec<_>>(),
            "paces": set_up_latencies, "kinds": type_means.snapshot()})
 }
 
@@ -100,6 +103,8 @@
     pub known_in: Option<f64>,
     /// Whether discovery answers at once or not at all; false from a build that does not tell it.
     pub answers_at_once: bool,
+    /// Whether discovery has confirmed the list, or has had its time for that; true from a build that does not tell it.
+    pub list_confirmed: bool,
     /// The address of discovery; none from a build that does not tell it.
     pub discovery: Option<SocketAddr>,
     /// The servers that lists which may be behind cannot bring back; none from a build that does not tell them.
@@ -150,6 +155,7 @@
         list: encoded["list"].clone(),
         known_in: encoded["known_in"].as_f64(),
         answers_at_once: encoded["answers_at_once"].as_bool().unwrap_or(false),
+        list_confirmed: encoded["list_confirmed"].as_bool().unwrap_or(true),
         discovery: encoded["discovery"].as_str().and_then(|address| address.parse().ok()),
         withdrawn: encoded["withdrawn"].as_array().into_iter().flatten().filter_map(withdrawn).collect(),
         servers: encoded["servers"].as_array()?.iter().filter_map(learned).collect(),
--- a/crates/dewhead-proxy/src/state/request_schedule.rs
+++ b/crates/dewhead-proxy/src/state/request_schedule.rs
@@ -2,9 +2,8 @@
 //! since its last line, and as rarely as that allows where it is overloaded.
 
 use super::watch_failure::WatchFailure;
+use dewhead::list_source::TOLD_AFTER_SECONDS;
 
-/// A change counts as known this many seconds after discovery has it, whether or not it was delivered.
-const KNOWN_AFTER_SECONDS: f64 = 6.0;
 /// What a discovery at another address has counts as known this many seconds after the new configuration.
 const NEW_DISCOVERY_KNOWN_AFTER_SECONDS: f64 = 4.0;
 /// An overloaded discovery is asked again this many seconds before missed changes count as known, at the least and at the
@@ -32,7 +31,7 @@
     pub fn new(now: f64) -> RequestSchedule {
         RequestSchedule {
             requested_at: f64::NEG_INFINITY,
-            known_by: now + KNOWN_AFTER_SECONDS,
+            known_by: now + TOLD_AFTER_SECONDS,
             failed_attempts: 0,
         }
     }
@@ -77,7 +76,7 @@
 
     /// Records a complete line: discovery had no change before `now` that it has not delivered.
     pub fn record_line(&mut self, now: f64) {
-        self.known_by = now + KNOWN_AFTER_SECONDS;
+        self.known_by = now + TOLD_AFTER_SECONDS;
     }
 
     /// Records a version of the list that was applied.
@@ -107,7 +106,7 @@
     fn overload_retry(&self, now: f64, draw: f64) -> f64 {
         let (least, most) = OVERLOAD_MARGIN_SECONDS;
         let margin = most - (most - least) * draw;
-        let since_request = self.requested_at + KNOWN_AFTER_SECONDS - margin;
+        let since_request = self.requested_at + TOLD_AFTER_SECONDS - margin;
         let since_line = (self.known_by - margin).max(now + MIN_OVERLOAD_PAUSE_SECONDS);
         let was_last_request = self.requested_at >= self.known_by - most;
         if was_last_request || since_line > self.known_by {
--- a/crates/dewhead-proxy/src/state/sessions.rs
+++ b/crates/dewhead-proxy/src/state/sessions.rs
@@ -36,6 +36,15 @@
     Closing,
 }
 
+/// A request that waits for discovery to confirm the list of servers. Times are in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldRequest {
+    /// When the request arrived.
+    pub arrived_at: f64,
+    /// When it is rejected if discovery has not answered.
+    pub answer_by: f64,
+}
+
 /// One client's connection.
 pub struct Session {
     /// The slot and a serial number, which distinguishes this session from earlier ones in the same slot.
@@ -50,6 +59,10 @@
     pub idle_position: Option<u64>,
     /// `PING` lines received.
     pub pings: u32,
+    /// `PING` lines that are not answered yet, as discovery has not confirmed the list.
+    pub held_pings: u32,
+    /// If the first line is a request that waits for discovery to confirm the list: since when, and until when.
+    pub held_request: Option<HeldRequest>,
     /// The first line; freed once the call is established.
     pub first_line: Vec<u8>,
     /// Where the client's waiting time is in the first line.
@@ -104,6 +117,11 @@
         LogId(self.request_id)
     }
 
+    /// Whether the client waits for discovery to confirm the list.
+    pub fn is_held(&self) -> bool {
+        self.stage == SessionStage::AwaitingFirstLine && (self.held_pings > 0 || self.held_request.is_some())
+    }
+
     /// The slot of the leg that the session is established on, also while its last lines are passed on.
     pub fn established_leg(&self) -> Option<usize> {
         match self.stage {
--- a/crates/dewhead-proxy/tests/coinciding_events.rs
+++ b/crates/dewhead-proxy/tests/coinciding_events.rs
@@ -57,7 +57,7 @@
         }
     }
     assert!(harness.closed_clients.is_empty(), "closed with a request read and no answer");
-    harness.advance(0.1);
+    harness.open_watch("");
     // No descriptor is left for a leg; the rejection is an answer.
     assert!(harness.received(waiting_client).starts_with("BUSY"), "{}", harness.received(waiting_client));
 }
--- a/crates/dewhead-startup/src/lib.rs
+++ b/crates/dewhead-startup/src/lib.rs
@@ -206,6 +206,11 @@
         self.leg_policy.two_at_once
     }
 
+    /// The longest time after which a rejected client may be asked to come again, in seconds; none if none may be named.
+    pub fn max_retry_after(&self) -> Option<f64> {
+        self.leg_policy.max_retry_after
+    }
+
     /// The traffic types and the names, for hosts that choose servers without a balancer.
     pub fn into_traffic_types_and_names(self) -> (Vec<TrafficType>, KnownNames) {
         (self.traffic_types, self.names)
