Leave an overdue request to discovery open beside the next one

Cause: a request was given up 2.2 s after it was made, and a hedged one after four intervals, so that an answer that takes longer cannot arrive. Ruled out: a longer time-out alone, since an agent never answers what it was asked while discovery was down, and must be asked anew within the grace period of its return.

When requests are made did not change.

Tests: two new ones in tests/list_reliance.rs and further delays in two; all four fail while the slot takes nothing in. In discovery_return.rs the number of requests that wait is now four hedged ones and the overdue one, named one by one.

--- a/crates/dewhead-lab/src/scale/stub_proxy.rs
+++ b/crates/dewhead-lab/src/scale/stub_proxy.rs
@@ -372,6 +372,7 @@
                 | Effect::OpenHedge(..)
                 | Effect::CloseHedge(_)
                 | Effect::PromoteHedge(_)
+                | Effect::DemoteWatch(_)
                 | Effect::Exit => {}
             }
         }
--- a/crates/dewhead-lab/src/simulated.rs
+++ b/crates/dewhead-lab/src/simulated.rs
@@ -5,7 +5,7 @@
 use crate::policy::{self, Policy, SharedSnapshots};
 use dewhead_proxy::reducer::{CloseKind, Effect, Endpoint, Event, Reducer};
 use dewhead_proxy::state::handover_state;
-use dewhead_proxy::state::hedged_requests::MAX_HEDGES;
+use dewhead_proxy::state::hedged_requests::HEDGE_SLOTS;
 use dewhead_proxy::wire::http;
 use dewhead_startup::Startup;
 use dewhead_world::discovery::EPOCH;
@@ -88,7 +88,7 @@
     /// The list version after which changes are requested on the watch.
     watch_version: u64,
     /// Hedged requests for the watch, with the list version of each, by slot.
-    hedges: [Option<(LinkKey, u64)>; MAX_HEDGES],
+    hedges: [Option<(LinkKey, u64)>; HEDGE_SLOTS],
     accepting: bool,
     /// Clients in the listener's accept queue.
     accept_queue: VecDeque<LinkKey>,
@@ -620,6 +620,15 @@
                         }
                     }
                 }
+                Effect::DemoteWatch(slot) => {
+                    self.close_hedge(p, slot);
+                    if let Some(process) = &mut self.processes[p] {
+                        if let Some(key) = process.watch.take() {
+                            process.hedges[slot] = Some((key, process.watch_version));
+                            self.links.insert(key, (p, LinkEnd::Hedge(slot)));
+                        }
+                    }
+                }
                 Effect::Exit => exit = true,
             }
         }
--- a/crates/dewhead-proxy/src/event_loop.rs
+++ b/crates/dewhead-proxy/src/event_loop.rs
@@ -16,7 +16,7 @@
 use crate::lifecycle::stages::{StageAction, StageEvent, StageMachine};
 use crate::reducer::{CloseKind, Effect, Endpoint, Event, Reducer};
 use crate::state::buffered_socket::BufferedSocket;
-use crate::state::hedged_requests::MAX_HEDGES;
+use crate::state::hedged_requests::HEDGE_SLOTS;
 use crate::transient::retry_transient;
 use log::info;
 use mio::net::{TcpListener, TcpStream, UnixStream};
@@ -33,7 +33,7 @@
 const PREDECESSOR: Token = Token(4);
 /// First token of the connections of hedged requests to discovery, and of the client and server sockets of sessions.
 const FIRST_HEDGE_TOKEN: usize = 5;
-const FIRST_SESSION_TOKEN: usize = FIRST_HEDGE_TOKEN + MAX_HEDGES;
+const FIRST_SESSION_TOKEN: usize = FIRST_HEDGE_TOKEN + HEDGE_SLOTS;
 /// Size of one read. It also bounds the bytes buffered for one socket, apart from messages of the proxy itself, as
 /// nothing is read from one side of a session while the other side has unsent bytes.
 const READ_BUFFER_BYTES: usize = 8192;
@@ -113,7 +113,7 @@
     /// Connection to discovery.
     watch: Option<BufferedSocket>,
     /// Connections of hedged requests to discovery, by slot.
-    hedges: [Option<BufferedSocket>; MAX_HEDGES],
+    hedges: [Option<BufferedSocket>; HEDGE_SLOTS],
     /// Connections of sessions by slot, until the reducer closes them.
     clients: Vec<Option<BufferedSocket>>,
     servers: Vec<Option<BufferedSocket>>,
@@ -142,7 +142,7 @@
 
 /// The slot of the hedged request with this token.
 fn hedge_slot_of(token: Token) -> Option<usize> {
-    token.0.checked_sub(FIRST_HEDGE_TOKEN).filter(|slot| *slot < MAX_HEDGES)
+    token.0.checked_sub(FIRST_HEDGE_TOKEN).filter(|slot| *slot < HEDGE_SLOTS)
 }
 
 fn endpoint_of(token: Token) -> Option<Endpoint> {
@@ -429,6 +429,7 @@
                 Effect::OpenHedge(slot, discovery, since) => self.open_hedge(now, slot, discovery, since),
                 Effect::CloseHedge(slot) => self.hedges[slot] = None,
                 Effect::PromoteHedge(slot) => self.promote_hedge(slot),
+                Effect::DemoteWatch(slot) => self.demote_watch(slot),
                 Effect::Exit => self.exit = true,
             }
         }
--- a/crates/dewhead-proxy/src/event_loop/watch.rs
+++ b/crates/dewhead-proxy/src/event_loop/watch.rs
@@ -114,6 +114,18 @@
         }
     }
 
+    /// Makes the connection of the watch that of the hedged request in this slot.
+    pub(super) fn demote_watch(&mut self, slot: usize) {
+        self.hedges[slot] = self.watch.take();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        if let Some(connection) = &mut self.hedges[slot] {
+            let token = Token(FIRST_HEDGE_TOKEN + slot);
+            if let Err(e) = self.poll.registry().reregister(&mut connection.socket, token, interest) {
+                error!("an overdue request for the watch could not be registered: {e}");
+            }
+        }
+    }
+
     /// Handles readiness of the connection of a hedged request.
     pub(super) fn hedge_ready(&mut self, now: f64, slot: usize, writable: bool) {
         let Some(connection) = self.hedges[slot].as_mut() else { return };
--- a/crates/dewhead-proxy/src/reducer.rs
+++ b/crates/dewhead-proxy/src/reducer.rs
@@ -140,6 +140,8 @@
     CloseHedge(usize),
     /// The hedged request in this slot becomes the watch, whose own connection is closed.
     PromoteHedge(usize),
+    /// The connection of the watch becomes that of the hedged request in this slot. One that is in the slot is closed.
+    DemoteWatch(usize),
     /// End the process, after the clients that are still in the listener's queue are served.
     Exit,
 }
--- a/crates/dewhead-proxy/src/reducer/hedged_watch.rs
+++ b/crates/dewhead-proxy/src/reducer/hedged_watch.rs
@@ -2,7 +2,7 @@
 //! one that is answered for the watch.
 
 use super::{Effect, Reducer, TimerKind};
-use crate::state::hedged_requests::MAX_HEDGES;
+use crate::state::hedged_requests::{MAX_HEDGES, OVERDUE_SLOT};
 use crate::state::watch_failure::WatchFailure;
 use crate::wire::http::WatchResponse;
 use dewhead::list_source::OVERLOADED_ANSWER_SECONDS;
@@ -92,16 +92,23 @@
             }
             Ok(false) => self.close_hedge(slot),
             Ok(true) if !hedge.response.has_head() => {}
-            Ok(true) if feed.line_completed || !self.watch_has_partial_line() => {
+            Ok(true) if feed.line_completed || self.may_become_watch(slot) => {
                 let Some(hedge) = self.hedges.slots[slot].take() else { return };
                 self.effects.push(Effect::PromoteHedge(slot));
                 self.replace_watch(hedge);
                 self.handle_watch_feed(now, feed, bytes.len());
             }
+            Ok(true) if slot == OVERDUE_SLOT => {}
             Ok(true) => self.close_other_answers(slot),
         }
     }
 
+    /// Whether the hedged request in this slot takes the place of the watch before it has delivered a line: one that is
+    /// overdue does not, nor does any while a line of the watch is incomplete.
+    fn may_become_watch(&self, slot: usize) -> bool {
+        slot != OVERDUE_SLOT && !self.watch_has_partial_line()
+    }
+
     /// Whether a part of a line of the watch has arrived, and not its end.
     fn watch_has_partial_line(&self) -> bool {
         self.watch.response.as_ref().is_some_and(WatchResponse::has_partial_line)
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -2,7 +2,7 @@
 
 use super::{Effect, Reducer, TimerKind};
 use crate::state::handover_state::RawEntries;
-use crate::state::hedged_requests::HedgedRequest;
+use crate::state::hedged_requests::{HedgedRequest, OVERDUE_SLOT};
 use crate::state::request_schedule::RequestSchedule;
 use crate::state::timers::Timer;
 use crate::state::watch_failure::WatchFailure;
@@ -231,10 +231,26 @@
         if self.watch.schedule.failed_attempts() == 0 {
             warn!("discovery: the watch is closed: {failure}");
         }
-        self.effects.push(Effect::CloseWatch);
+        if failure == WatchFailure::LineOverdue && !self.watch.line_received {
+            self.leave_overdue_request_open(now);
+        } else {
+            self.effects.push(Effect::CloseWatch);
+        }
         self.schedule_watch_retry(now, failure);
     }
 
+    /// Leaves a request open whose first line is overdue, beside the next one, unless an earlier such request is to be
+    /// waited for.
+    fn leave_overdue_request_open(&mut self, now: f64) {
+        let requested_at = self.watch.schedule.requested_at();
+        let response = self.watch.response.take().unwrap_or_default();
+        if self.hedges.add_overdue(now, HedgedRequest { requested_at, response }) {
+            self.effects.push(Effect::DemoteWatch(OVERDUE_SLOT));
+        } else {
+            self.effects.push(Effect::CloseWatch);
+        }
+    }
+
     /// Schedules the next request after the connection ended or was not established.
     pub(super) fn handle_watch_lost(&mut self, now: f64) {
         self.schedule_watch_retry(now, WatchFailure::ConnectionLost);
--- a/crates/dewhead-proxy/src/state/hedged_requests.rs
+++ b/crates/dewhead-proxy/src/state/hedged_requests.rs
@@ -4,9 +4,15 @@
 
 use super::timers::Timer;
 use crate::wire::http::WatchResponse;
+use dewhead::list_source::TOLD_AFTER_SECONDS;
 
 /// The most hedged requests that wait for an answer at the same time. A further one takes the place of the oldest.
 pub const MAX_HEDGES: usize = 4;
+/// The slot of the request whose first line is overdue. It is left open beside the later ones, as a discovery that takes
+/// longer for each answer would otherwise never be heard.
+pub const OVERDUE_SLOT: usize = MAX_HEDGES;
+/// The number of slots.
+pub const HEDGE_SLOTS: usize = MAX_HEDGES + 1;
 /// The longest interval between two requests, as a share of the grace period. The rest is for the answer, for a process
 /// that is held up, and for requests to servers that are being sent.
 const MAX_INTERVAL_SHARE: f64 = 0.6;
@@ -43,7 +49,7 @@
     /// The longest interval between two requests, in seconds; none where lists are not pushed.
     longest_interval: Option<f64>,
     /// The requests that wait for an answer.
-    pub slots: [Option<HedgedRequest>; MAX_HEDGES],
+    pub slots: [Option<HedgedRequest>; HEDGE_SLOTS],
     next_slot: usize,
     discovery: Discovery,
     /// The timer for the next request.
@@ -120,8 +126,20 @@
         slot
     }
 
+    /// Takes in the request for the watch whose first line is overdue. False: an earlier one may still be answered in the
+    /// time in which changes count as told, and stays in the slot.
+    pub fn add_overdue(&mut self, now: f64, request: HedgedRequest) -> bool {
+        let slot = &mut self.slots[OVERDUE_SLOT];
+        let is_earlier_awaited =
+            slot.as_ref().is_some_and(|earlier| now - earlier.requested_at < TOLD_AFTER_SECONDS);
+        if !is_earlier_awaited {
+            *slot = Some(request);
+        }
+        !is_earlier_awaited
+    }
+
     /// Gives up all requests and returns their slots.
     pub fn clear(&mut self) -> Vec<usize> {
-        (0..MAX_HEDGES).filter(|slot| self.slots[*slot].take().is_some()).collect()
+        (0..HEDGE_SLOTS).filter(|slot| self.slots[*slot].take().is_some()).collect()
     }
 }
--- a/crates/dewhead-proxy/tests/common/mod.rs
+++ b/crates/dewhead-proxy/tests/common/mod.rs
@@ -276,6 +276,12 @@
                     let request = self.open_requests.remove(&Some(slot)).expect("the request is open");
                     self.open_requests.insert(None, request);
                 }
+                Effect::DemoteWatch(slot) => {
+                    self.open_hedges.insert(slot);
+                    let request = self.open_requests.remove(&None).expect("the watch was requested");
+                    self.open_requests.insert(Some(slot), request);
+                    self.watch_open = false;
+                }
                 Effect::Exit => self.exited = true,
             }
         }
--- a/crates/dewhead-proxy/tests/discovery_return.rs
+++ b/crates/dewhead-proxy/tests/discovery_return.rs
@@ -8,6 +8,7 @@
 use common::{discovery_address, host_entry, server_list, settings, Harness, UNAVAILABLE_RESPONSE};
 use dewhead_proxy::reducer::Event;
 use dewhead_proxy::state::handover_state;
+use dewhead_proxy::state::hedged_requests::OVERDUE_SLOT;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::time::{Duration, Instant};
@@ -283,14 +284,14 @@
     let mut agent = Agent::with_watch(1, Outage::Silent, 2.0);
     agent.be_down(5.0);
     let slots: Vec<usize> = agent.harness.open_hedges.iter().copied().collect();
-    assert_eq!(slots.len(), 4, "as many requests wait as are allowed");
+    assert_eq!(slots, [0, 1, 2, 3, OVERDUE_SLOT], "as many requests wait as are allowed, and an overdue one");
     let start = b"HTTP/1.1 200 OK\r\n\r\n{\"seq\":2,";
     for slot in &slots[..3] {
         agent.harness.deliver(Event::HedgeBytes(*slot, start));
     }
     assert_eq!(
         agent.harness.open_hedges,
-        [slots[2], slots[3]].into(),
+        [slots[2], slots[3], OVERDUE_SLOT].into(),
         "the second answer is given up for the third"
     );
     let entries = json!([host_entry(0, "draining")]);
--- a/crates/dewhead-proxy/tests/list_reliance.rs
+++ b/crates/dewhead-proxy/tests/list_reliance.rs
@@ -19,6 +19,8 @@
 const STEP_SECONDS: f64 = 0.01;
 /// A client comes once in this many steps.
 const STEPS_BETWEEN_CLIENTS: usize = 10;
+/// The size of a piece of an answer.
+const PIECE_BYTES: usize = 20;
 /// The port of the server that drains.
 const DRAINED_PORT: usize = 9001;
 
@@ -27,6 +29,8 @@
 enum Discovery {
     /// It answers this many seconds after each request.
     AnswersAfter(f64),
+    /// It begins its answer at once, and writes a piece of it every 0.2 s, until this many seconds after the request.
+    AnswersInPieces(f64),
     /// It refuses the first request with 503, and answers the next ones at once.
     RefusesFirst,
     /// It resets the connection of the first request, and answers the next ones this many seconds after they were made.
@@ -40,6 +44,7 @@
 /// A request that discovery has received.
 struct Request {
     made_at: f64,
+    bytes_sent: usize,
     done: bool,
 }
 
@@ -111,7 +116,7 @@
     fn accept_requests(&mut self) {
         while self.first_request + self.requests.len() < self.harness.request_count {
             let is_first = self.requests.is_empty();
-            self.requests.push(Request { made_at: self.harness.now, done: false });
+            self.requests.push(Request { made_at: self.harness.now, bytes_sent: 0, done: false });
             let Some(slot) = self.connection_of(self.requests.len() - 1) else { continue };
             if self.discovery == Discovery::Unreachable {
                 self.end_connection(slot, Event::WatchRefused);
@@ -161,17 +166,28 @@
     /// Writes what discovery has to write now.
     fn answer_requests(&mut self) {
         for n in 0..self.requests.len() {
-            let Request { made_at, done } = self.requests[n];
+            let Request { made_at, bytes_sent, done } = self.requests[n];
             let age = self.harness.now - made_at;
-            let complete_after = match self.discovery {
-                Discovery::AnswersAfter(seconds) | Discovery::CutsFirst(seconds) => seconds,
-                Discovery::RefusesFirst => 0.0,
-                Discovery::Silent | Discovery::Unreachable => f64::INFINITY,
+            let (complete_after, in_pieces) = match self.discovery {
+                Discovery::AnswersAfter(seconds) | Discovery::CutsFirst(seconds) => (seconds, false),
+                Discovery::AnswersInPieces(seconds) => (seconds, true),
+                Discovery::RefusesFirst => (0.0, false),
+                Discovery::Silent | Discovery::Unreachable => (f64::INFINITY, false),
             };
-            if !done && age >= complete_after && self.harness.reducer.list_version() != 2 {
-                self.requests[n].done = true;
-                let answer = self.answer.clone();
-                self.write(n, &answer);
+            if done || self.harness.reducer.list_version() == 2 {
+                continue;
+            }
+            let length = self.answer.len();
+            let bytes_due = match () {
+                () if age >= complete_after => length,
+                () if in_pieces => ((age / 0.2) as usize * PIECE_BYTES).min(length - 1),
+                () => 0,
+            };
+            if bytes_due > bytes_sent {
+                self.requests[n].bytes_sent = bytes_due;
+                self.requests[n].done = bytes_due == length;
+                let piece = self.answer[bytes_sent..bytes_due].to_vec();
+                self.write(n, &piece);
             }
         }
     }
@@ -240,7 +256,7 @@
 /// discovery took to answer.
 #[test]
 fn a_new_process_chooses_no_server_before_a_slow_discovery_answers() {
-    for delay in [0.1, 0.4, 0.9, 1.5] {
+    for delay in [0.1, 0.4, 0.9, 1.5, 2.4, 4.0] {
         for health in ["draining", "gone"] {
             for seed in 0..4 {
                 let mut fixture = Fixture::at_start(seed, Discovery::AnswersAfter(delay), health);
@@ -264,7 +280,12 @@
 /// After a first request that was refused or cut off, a new process served by its remembered list until it asked again.
 #[test]
 fn a_new_process_chooses_no_server_after_a_request_that_was_refused_or_cut_off() {
-    for discovery in [Discovery::RefusesFirst, Discovery::CutsFirst(0.0), Discovery::CutsFirst(1.5)] {
+    for discovery in [
+        Discovery::RefusesFirst,
+        Discovery::CutsFirst(0.0),
+        Discovery::CutsFirst(1.5),
+        Discovery::CutsFirst(3.0),
+    ] {
         for seed in 0..4 {
             let mut fixture = Fixture::at_start(seed, discovery, "draining");
             fixture.run(8.0);
@@ -291,6 +312,42 @@
     }
 }
 
+/// A request for the watch was given up after 2.2 s, so that a discovery that takes longer for each answer was never heard.
+#[test]
+fn a_discovery_that_takes_longer_than_the_interval_between_requests_is_heard() {
+    for mode in ["automatic", "subscribe"] {
+        for discovery in [
+            Discovery::AnswersAfter(2.4),
+            Discovery::AnswersAfter(4.0),
+            Discovery::AnswersAfter(5.5),
+            Discovery::AnswersInPieces(3.0),
+        ] {
+            for seed in 0..4 {
+                let mut settings_json = pushed_settings();
+                settings_json["membershipMode"] = json!(mode);
+                let harness = Harness::at_process_start(seed, &settings_json, 256, remembered_list());
+                let mut fixture = Fixture::new(harness, discovery, "draining");
+                fixture.run(KNOWN_AFTER_SECONDS);
+                assert_eq!(fixture.harness.reducer.list_version(), 2, "{mode}, {discovery:?}: not heard");
+                assert!(fixture.harness.open_hedges.is_empty(), "{mode}, {discovery:?}");
+            }
+        }
+    }
+}
+
+/// An overdue request that is left open gives way to a later one once changes count as known, as an agent never answers what
+/// it was asked while discovery was down.
+#[test]
+fn an_overdue_request_that_is_never_answered_gives_way_to_a_later_one() {
+    let mut fixture = Fixture::at_start(1, Discovery::Silent, "draining");
+    fixture.run(9.0);
+    // What was asked before the return is never answered.
+    fixture.requests.iter_mut().for_each(|request| request.done = true);
+    fixture.discovery = Discovery::AnswersAfter(4.0);
+    fixture.run(11.0);
+    assert_eq!(fixture.harness.reducer.list_version(), 2, "not heard");
+}
+
 /// A successor that discovery does not answer took the list that was handed over for a told one after 0.19 s. It answers
 /// `PING`, as its predecessor accepts nobody any more, and keeps requests until discovery answers or counts as down.
 #[test]
