Choose no server by a told list while discovery is slow after a lost watch

Seen: in the model, a watch is reset while a server begins to drain, and discovery takes 0.9 s or 1.5 s for the next request: requests go to the draining server after its grace period. Found by going through the paths of the remembered list.

Cause: a told list had no end. What the agent has counts as told whether or not a watch is open. Ruled out: a late request (it is made at once).

Change: a list whose watch had delivered a line and was lost is used for the grace period less the 0.15 s for which a process may be held up, and then once discovery has completed a line, refused a request or does not listen, or after 2.1 s.

Tests: one in tests/list_reliance.rs, which fails before (a late request with an answer after 0.9 s).

--- a/crates/dewhead-proxy/src/reducer/held_requests.rs
+++ b/crates/dewhead-proxy/src/reducer/held_requests.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Records that the watch was lost after it had delivered a line: the list may lack what discovery is told from now on.
+    pub(super) fn doubt_list_after_lost_watch(&mut self, now: f64) {
+        self.list_reliance.on_lost_watch(now);
+        self.schedule_list_doubt_end();
+    }
+
     /// Records that discovery has refused a request for the watch.
     pub(super) fn note_refusal_for_list(&mut self, now: f64) {
         self.list_reliance.on_refusal();
--- a/crates/dewhead-proxy/src/reducer/watch.rs
+++ b/crates/dewhead-proxy/src/reducer/watch.rs
@@ -265,6 +265,9 @@
     /// Counts a failed attempt and sets the timer for the next request.
     fn schedule_watch_retry(&mut self, now: f64, failure: WatchFailure) {
         self.watch.response = None;
+        if self.watch.line_received && failure != WatchFailure::LineOverdue {
+            self.doubt_list_after_lost_watch(now);
+        }
         self.note_failure_for_hedges(now, failure);
         self.counters.watch_failures.count(failure.name());
         let draw = self.rng.rand_float();
--- a/crates/dewhead-proxy/tests/list_reliance.rs
+++ b/crates/dewhead-proxy/tests/list_reliance.rs
@@ -95,6 +95,16 @@
         )
     }
 
+    /// A process whose watch is open.
+    fn with_watch(seed: u128, discovery: Discovery) -> Fixture {
+        let mut harness = Harness::at_process_start(seed, &pushed_settings(), 256, remembered_list());
+        harness.open_watch("");
+        harness.advance(1.0);
+        harness.deliver(Event::WatchBytes(b"\n"));
+        let first_request = harness.request_count;
+        Fixture { first_request, ..Fixture::new(harness, discovery, "draining") }
+    }
+
     fn new(harness: Harness, discovery: Discovery, health: &str) -> Fixture {
         let list = server_list(2, false, vec![host_entry(1, health)]);
         let answer = format!("HTTP/1.1 200 OK\r\n\r\n{list}\n").into_bytes();
@@ -348,6 +358,43 @@
     assert_eq!(fixture.harness.reducer.list_version(), 2, "not heard");
 }
 
+/// A process whose watch is reset, and whose discovery is slow to answer the next request, sent requests to a draining server
+/// until then. Within the grace period the list is used; a discovery that does not answer counts as down after 2.1 s.
+#[test]
+fn a_process_whose_watch_was_lost_chooses_no_server_before_a_slow_discovery_answers() {
+    for discovery in [
+        Discovery::AnswersAfter(0.0),
+        Discovery::AnswersAfter(0.9),
+        Discovery::AnswersAfter(1.5),
+        Discovery::Silent,
+        Discovery::Unreachable,
+    ] {
+        let mut fixture = Fixture::with_watch(1, discovery);
+        let lost_at = fixture.harness.now;
+        fixture.harness.deliver(Event::WatchLost);
+        fixture.run(GRACE_SECONDS);
+        let count_within_grace = fixture.drained_count();
+        fixture.run(1.5);
+        let late_count = fixture.drained_count() - count_within_grace;
+        match discovery {
+            Discovery::Unreachable => assert!(late_count > 0, "nobody listens: the list is used"),
+            _ => assert_eq!(late_count, 0, "{discovery:?}: requests to the draining server"),
+        }
+        fixture.run(2.0);
+        assert_eq!(
+            fixture.ready_at.map(|at| at - lost_at < 0.1),
+            Some(true),
+            "{discovery:?}: PING is answered"
+        );
+        // Every client of the last second is served.
+        let last_second = fixture.harness.now - 1.0;
+        for caller in fixture.callers.iter().filter(|caller| caller.came_at > last_second) {
+            assert!(caller.answer.starts_with("UP"), "{discovery:?}: {:?}", caller.answer);
+        }
+        fixture.served_count();
+    }
+}
+
 /// A successor that discovery does not answer took the list that was handed over for a told one after 0.19 s. It answers
 /// `PING`, as its predecessor accepts nobody any more, and keeps requests until discovery answers or counts as down.
 #[test]
--- a/crates/dewhead/src/list_source.rs
+++ b/crates/dewhead/src/list_source.rs
@@ -18,7 +18,7 @@
 enum ListSource {
     /// Discovery has confirmed it.
     Told,
-    /// Discovery had confirmed it until this process took over from another one.
+    /// Discovery had confirmed it until the watch was lost, or until this process took over from another one.
     Unwatched {
         /// Until then, what discovery has been told since is within the grace period.
         doubted_from: f64,
@@ -74,6 +74,14 @@
         }
     }
 
+    /// The source after the watch was lost at `now`.
+    fn after_lost_watch(self, now: f64, grace: f64) -> ListSource {
+        match self {
+            ListSource::Told => ListSource::unwatched(now, grace),
+            other => other,
+        }
+    }
+
     /// The source after discovery has refused a request: it is asked again only seconds later, and a process that has served
     /// by the list until now goes on.
     fn after_refusal(self) -> ListSource {
@@ -132,6 +140,13 @@
         (self.source, self.discovery_unreachable) = (ListSource::Told, false);
     }
 
+    /// Records that a watch was lost that had delivered a line.
+    pub fn on_lost_watch(&mut self, now: f64) {
+        if let Some(grace) = self.pushed_list_grace {
+            self.source = self.source.after_lost_watch(now, grace);
+        }
+    }
+
     /// Records that discovery has refused a request.
     pub fn on_refusal(&mut self) {
         self.source = self.source.after_refusal();
