Leave the hedged requests that wait open when discovery refuses one

A refusal of one request made a proxy close its others, on which discovery goes on working: counted in the model, 88 of the 154 requests in its queue after the first second were abandoned or refused, and 126 of 159 after the third, six seconds of work, so that every later request waited for over the two seconds after which it is refused. And the model wrote to connections that the proxy had closed: it took the watch's own request for open after a hedged one had taken its place, and its refusal ended the new watch, so that about 98 proxies asked in each 5.5 s although 41 had their lists. Ruled out: requests of proxies that make none (no hedged request after the third second).

Change: a refusal ends the making of further hedged requests and no more. The model of the test follows each connection by the request's number; fleet, rates, bounds and seconds are as they were, so that it asks for as much as before, and of the right requests.

--- a/crates/dewhead-proxy/src/reducer/hedged_watch.rs
+++ b/crates/dewhead-proxy/src/reducer/hedged_watch.rs
@@ -42,6 +42,12 @@
     /// Gives up the hedged requests and makes no further ones until the next request for the watch.
     pub(super) fn stop_hedging(&mut self) {
         self.close_hedges();
+        self.cancel_hedge_timer();
+    }
+
+    /// Makes no further hedged requests until the next request for the watch. Those that wait are left open: an overloaded
+    /// discovery works on them even if they are given up, and may still answer one.
+    fn cancel_hedge_timer(&mut self) {
         if let Some(timer) = self.hedges.timer.take() {
             self.timers.cancel(timer);
         }
@@ -52,7 +58,7 @@
         if failure.is_overload() {
             self.note_refusal_for_list(now);
             self.hedges.record_refusal();
-            self.stop_hedging();
+            self.cancel_hedge_timer();
         } else if failure == WatchFailure::LineOverdue && !self.watch.line_received {
             self.hedges.record_answers_at_once_or_never();
         }
--- a/crates/dewhead-proxy/tests/overloaded_discovery.rs
+++ b/crates/dewhead-proxy/tests/overloaded_discovery.rs
@@ -23,7 +23,6 @@
     fleet: Vec<Harness>,
     requests_per_second: f64,
     requests_seen: Vec<usize>,
-    hedges_seen: Vec<usize>,
     queue: VecDeque<QueuedRequest>,
     /// The part of a request that can be answered so far.
     capacity: f64,
@@ -31,18 +30,12 @@
     with_list: BTreeSet<usize>,
 }
 
-/// A request of a proxy: its number among the proxy's requests of its kind.
-#[derive(Clone, Copy)]
-enum Request {
-    Watch(usize),
-    Hedge(usize),
-}
-
 /// A request in the queue of discovery.
 #[derive(Clone, Copy)]
 struct QueuedRequest {
     proxy: usize,
-    request: Request,
+    /// Its number among the proxy's requests.
+    request: usize,
     /// When it arrived, in seconds.
     arrived_at: f64,
     refused: bool,
@@ -64,10 +57,9 @@
             .map(|seed| Harness::at_process_start(u128::from(seed), &settings_json, 256, remembered.clone()))
             .collect();
         let mut requests_seen = vec![0; fleet.len()];
-        let hedges_seen = vec![0; fleet.len()];
         for (harness, seen) in fleet.iter_mut().zip(&mut requests_seen).filter(|_| cause != Cause::Restart) {
             harness.open_watch("");
-            *seen = harness.watch_requests.len();
+            *seen = harness.request_count;
             if cause == Cause::Reconfiguration {
                 harness.deliver(Event::Reconfigured(discovery_address(2), 200));
             } else {
@@ -79,61 +71,50 @@
             fleet,
             requests_per_second,
             requests_seen,
-            hedges_seen,
             queue: VecDeque::new(),
             capacity: 0.0,
             with_list: BTreeSet::new(),
         }
     }
 
-    fn refuse(&mut self, proxy: usize, request: Request) {
-        let harness = &mut self.fleet[proxy];
-        match request {
-            Request::Watch(_) => {
-                harness.deliver(Event::WatchOpened);
-                harness.deliver(Event::WatchBytes(UNAVAILABLE_RESPONSE));
-            }
-            Request::Hedge(number) => {
-                let (slot, ..) = harness.hedge_requests[number];
-                harness.deliver(Event::HedgeBytes(slot, UNAVAILABLE_RESPONSE));
-            }
-        }
+    /// The connection on which the proxy waits for the answer to this request, if it still does: a hedged one's slot, or that
+    /// of the watch. One that was closed, or whose place another request has taken, is answered no more.
+    fn connection_of(&self, proxy: usize, request: usize) -> Option<Option<usize>> {
+        let mut open = self.fleet[proxy].open_requests.iter();
+        open.find(|(_, number)| **number == request).map(|(slot, _)| *slot)
     }
 
-    /// Whether the proxy still waits for the answer to this request.
-    fn awaits_answer(&self, proxy: usize, request: Request) -> bool {
-        let harness = &self.fleet[proxy];
-        match request {
-            Request::Watch(number) => harness.watch_open && self.requests_seen[proxy] == number,
-            Request::Hedge(number) => {
-                let (slot, ..) = harness.hedge_requests[number];
-                let is_latest = harness.hedge_requests[number + 1..].iter().all(|(later, ..)| *later != slot);
-                is_latest && harness.open_hedges.contains(&slot)
+    /// Writes an answer to a request, if the proxy still waits for it; returns whether it does.
+    fn write(&mut self, proxy: usize, request: usize, answer: &[u8]) -> bool {
+        let Some(connection) = self.connection_of(proxy, request) else { return false };
+        let harness = &mut self.fleet[proxy];
+        match connection {
+            None => {
+                harness.watch_open = true;
+                harness.deliver(Event::WatchOpened);
+                harness.deliver(Event::WatchBytes(answer));
             }
+            Some(slot) => harness.deliver(Event::HedgeBytes(slot, answer)),
         }
+        true
     }
 
     /// Queues the requests that the proxies have made, or refuses them.
     fn accept_requests(&mut self, now: f64) {
         for proxy in 0..self.fleet.len() {
-            if self.fleet[proxy].watch_requests.len() != self.requests_seen[proxy] {
-                self.requests_seen[proxy] = self.fleet[proxy].watch_requests.len();
-                self.fleet[proxy].watch_open = true;
-                self.accept_request(now, proxy, Request::Watch(self.requests_seen[proxy]));
-            }
-            while self.hedges_seen[proxy] < self.fleet[proxy].hedge_requests.len() {
-                self.hedges_seen[proxy] += 1;
-                self.accept_request(now, proxy, Request::Hedge(self.hedges_seen[proxy] - 1));
+            while self.requests_seen[proxy] < self.fleet[proxy].request_count {
+                self.requests_seen[proxy] += 1;
+                self.accept_request(now, proxy, self.requests_seen[proxy] - 1);
             }
         }
     }
 
     /// Queues a request, or refuses it.
-    fn accept_request(&mut self, now: f64, proxy: usize, request: Request) {
+    fn accept_request(&mut self, now: f64, proxy: usize, request: usize) {
         if (self.queue.len() as f64) < 4.0 * DISCOVERY_TIMEOUT_SECONDS * self.requests_per_second {
             self.queue.push_back(QueuedRequest { proxy, request, arrived_at: now, refused: false });
-        } else if self.awaits_answer(proxy, request) {
-            self.refuse(proxy, request);
+        } else {
+            self.write(proxy, request, UNAVAILABLE_RESPONSE);
         }
     }
 
@@ -145,31 +126,21 @@
                 continue;
             }
             self.queue[i].refused = true;
-            if self.awaits_answer(proxy, request) {
-                self.refuse(proxy, request);
-            }
+            self.write(proxy, request, UNAVAILABLE_RESPONSE);
         }
     }
 
     /// Answers as many requests as a step allows; abandoned ones use up capacity as well.
     fn answer(&mut self) {
-        let new_list = server_list(2, true, vec![host_entry(0, "ready"), host_entry(1, "ready")]).to_string();
+        let new_list = server_list(2, true, vec![host_entry(0, "ready"), host_entry(1, "ready")]);
+        let answer = format!("HTTP/1.1 200 OK\r\n\r\n{new_list}\n");
         self.capacity += self.requests_per_second * STEP_SECONDS;
         while self.capacity >= 1.0 {
             self.capacity -= 1.0;
             let Some(QueuedRequest { proxy, request, refused, .. }) = self.queue.pop_front() else { break };
-            if refused || !self.awaits_answer(proxy, request) {
-                continue;
-            }
-            match request {
-                Request::Watch(_) => self.fleet[proxy].open_watch(&new_list),
-                Request::Hedge(number) => {
-                    let (slot, ..) = self.fleet[proxy].hedge_requests[number];
-                    let answer = format!("HTTP/1.1 200 OK\r\n\r\n{new_list}\n");
-                    self.fleet[proxy].deliver(Event::HedgeBytes(slot, answer.as_bytes()));
-                }
+            if !refused && self.write(proxy, request, answer.as_bytes()) {
+                self.with_list.insert(proxy);
             }
-            self.with_list.insert(proxy);
         }
     }
 
