--- a/crates/dewhead-proxy/src/event_loop.rs
+++ b/crates/dewhead-proxy/src/event_loop.rs
@@ -37,6 +37,8 @@
 /// Size of one read. It also bounds the bytes buffered for one socket, apart from messages of the proxy itself, as
 /// nothing is read from one side of a session while the other side has unsent bytes.
 const READ_BUFFER_BYTES: usize = 8192;
+/// The longest wait of one poll, in seconds.
+const LONGEST_POLL_SECONDS: f64 = 60.0;
 /// Most events taken from one poll.
 const MAX_POLL_EVENTS: usize = 1024;
 /// Timers wait until a poll returns fewer than `MAX_POLL_EVENTS` events, but for no more polls than this.
@@ -133,6 +135,13 @@
     exit: bool,
 }
 
+/// Which signals have woken the loop.
+#[derive(Clone, Copy, Default)]
+struct Wakeups {
+    stop: bool,
+    reload: bool,
+}
+
 fn token_of(endpoint: Endpoint) -> Token {
     match endpoint {
         Endpoint::Client(slot) => Token(FIRST_SESSION_TOKEN + 2 * slot),
@@ -228,18 +237,8 @@
         self.handle_stage_event(now, StageEvent::Listening);
         while !self.exit {
             self.notifier.send_watchdog_if_due(self.clock.now());
-            let accept = self.accept_at.filter(|_| self.accepting);
-            let reload_retry = self.reload_retry.map(|retry| retry.next_at);
-            let predecessor = self.predecessor_deadline.filter(|_| self.predecessor.is_some());
-            let others =
-                [accept, self.notifier.watchdog_due(), reload_retry, self.control_accept_at, predecessor];
-            let due =
-                self.reducer.next_due().into_iter().chain(others.into_iter().flatten()).reduce(f64::min);
-            let wait = match due {
-                _ if !self.pending_reads.is_empty() => Some(Duration::ZERO),
-                Some(at) => Some(Duration::from_secs_f64((at - self.clock.now()).clamp(0.0, 60.0))),
-                None => None,
-            };
+            let due = self.next_due();
+            let wait = self.longest_wait(due);
             let polled_at = self.clock.now();
             match self.poll.poll(&mut events, wait) {
                 // Continues with the iteration, so that due timers run even while signals keep arriving.
@@ -249,58 +248,10 @@
             let now = self.clock.now();
             // A timer that runs late shows that the process was delayed and that no socket was read in that time.
             self.reducer.set_poll_times(polled_at, due.map_or(0.0, |at| (now - at).max(0.0)));
-            if let Some(event) = events.iter().find(|e| e.token() == WATCH) {
-                self.watch_ready(now, event.is_writable());
-            }
-            for event in events.iter() {
-                if let Some(slot) = hedge_slot_of(event.token()) {
-                    self.hedge_ready(now, slot, event.is_writable());
-                }
-            }
-            for endpoint in std::mem::take(&mut self.pending_reads) {
-                if let Some(connection) = self.connection(endpoint) {
-                    connection.read_queued = false;
-                }
-                self.read(now, endpoint);
-            }
-            let (mut stop, mut reload) = (false, false);
-            for event in events.iter() {
-                match event.token() {
-                    LISTENER => self.accept_at = Some(now),
-                    STOP_WAKEUP => {
-                        discard_wakeups(&mut self.stop_wakeup);
-                        stop = true;
-                    }
-                    RELOAD_WAKEUP => {
-                        discard_wakeups(&mut self.reload_wakeup);
-                        reload = true;
-                    }
-                    PREDECESSOR => self.predecessor_ready(),
-                    WATCH => {}
-                    other => {
-                        if let Some(connection) = ControlSocket::connection_of(other) {
-                            self.control_socket_ready(now, connection);
-                        } else if let Some(endpoint) = endpoint_of(other) {
-                            self.socket_ready(
-                                now,
-                                endpoint,
-                                event.is_readable() || event.is_read_closed() || event.is_error(),
-                            );
-                        }
-                    }
-                }
-            }
-            // Only the flags are used: a byte may have been lost, and one whose flag is already cleared is a
-            // repetition.
-            if let Some(flags) = &self.signal_flags {
-                (stop, reload) = (flags.stop.take(), flags.reload.take());
-            }
-            if stop {
-                self.handle_stage_event(now, StageEvent::StopRequested);
-            }
-            if reload {
-                self.handle_stage_event(now, StageEvent::ReloadRequested);
-            }
+            self.handle_discovery_events(now, &events);
+            self.handle_pending_reads(now);
+            let wakeups = self.handle_socket_events(now, &events);
+            self.handle_signals(now, wakeups);
             self.close_broken_sockets(now);
             // Timers run only after all earlier bytes are read. Otherwise a process that was delayed for a second
             // treats unread answers as missing, and sends clients away whose answer has arrived. One poll may not
@@ -333,6 +284,89 @@
         Ok(())
     }
 
+    /// When the next timer is due, in seconds.
+    fn next_due(&self) -> Option<f64> {
+        let accept = self.accept_at.filter(|_| self.accepting);
+        let reload_retry = self.reload_retry.map(|retry| retry.next_at);
+        let predecessor = self.predecessor_deadline.filter(|_| self.predecessor.is_some());
+        let others =
+            [accept, self.notifier.watchdog_due(), reload_retry, self.control_accept_at, predecessor];
+        self.reducer.next_due().into_iter().chain(others.into_iter().flatten()).reduce(f64::min)
+    }
+
+    /// For how long the poll may wait; without limit if no timer is due.
+    fn longest_wait(&self, due: Option<f64>) -> Option<Duration> {
+        if !self.pending_reads.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        due.map(|at| Duration::from_secs_f64((at - self.clock.now()).clamp(0.0, LONGEST_POLL_SECONDS)))
+    }
+
+    /// Handles the readiness of the connections to discovery, before clients' requests are read.
+    fn handle_discovery_events(&mut self, now: f64, events: &Events) {
+        if let Some(event) = events.iter().find(|e| e.token() == WATCH) {
+            self.watch_ready(now, event.is_writable());
+        }
+        for event in events.iter() {
+            if let Some(slot) = hedge_slot_of(event.token()) {
+                self.hedge_ready(now, slot, event.is_writable());
+            }
+        }
+    }
+
+    /// Reads the sockets that may have more bytes than were read in the last iteration.
+    fn handle_pending_reads(&mut self, now: f64) {
+        for endpoint in std::mem::take(&mut self.pending_reads) {
+            if let Some(connection) = self.connection(endpoint) {
+                connection.read_queued = false;
+            }
+            self.read(now, endpoint);
+        }
+    }
+
+    /// Handles the readiness of all other sockets, and returns which signals have woken the loop.
+    fn handle_socket_events(&mut self, now: f64, events: &Events) -> Wakeups {
+        let mut wakeups = Wakeups::default();
+        for event in events.iter() {
+            match event.token() {
+                LISTENER => self.accept_at = Some(now),
+                STOP_WAKEUP => {
+                    discard_wakeups(&mut self.stop_wakeup);
+                    wakeups.stop = true;
+                }
+                RELOAD_WAKEUP => {
+                    discard_wakeups(&mut self.reload_wakeup);
+                    wakeups.reload = true;
+                }
+                PREDECESSOR => self.predecessor_ready(),
+                WATCH => {}
+                other => {
+                    if let Some(connection) = ControlSocket::connection_of(other) {
+                        self.control_socket_ready(now, connection);
+                    } else if let Some(endpoint) = endpoint_of(other) {
+                        let readable = event.is_readable() || event.is_read_closed() || event.is_error();
+                        self.socket_ready(now, endpoint, readable);
+                    }
+                }
+            }
+        }
+        wakeups
+    }
+
+    /// Carries out what signals have requested.
+    fn handle_signals(&mut self, now: f64, mut wakeups: Wakeups) {
+        // Only the flags are used: a byte may have been lost, and one whose flag is already cleared is a repetition.
+        if let Some(flags) = &self.signal_flags {
+            wakeups = Wakeups { stop: flags.stop.take(), reload: flags.reload.take() };
+        }
+        if wakeups.stop {
+            self.handle_stage_event(now, StageEvent::StopRequested);
+        }
+        if wakeups.reload {
+            self.handle_stage_event(now, StageEvent::ReloadRequested);
+        }
+    }
+
     /// Applies an event to the stage machine and carries out its actions.
     fn handle_stage_event(&mut self, now: f64, event: StageEvent) {
         for action in self.stages.handle(event) {
